--- /dev/null
+++ b/src/main/java/reachloom/Choice.java
@@ -0,0 +1,869 @@
+package reachloom;
+
+// The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import reachloom.state.Attempt;
+import reachloom.state.ClassRecord;
+import reachloom.state.Engine;
+import reachloom.state.KeyLine;
+import reachloom.state.QueryRecord;
+import reachloom.state.SlidingSum;
+import reachloom.state.TenantRecord;
+
+/**
+ * Decides for one gateway: admits a query at arrival on a prediction, holds it for a short while, releases
+ * the oldest first to the less loaded of two drawn engines, and keeps the rules. The methods stand in the
+ * order in which a query lives; docs/design.md gives the reasons and the conditions of each exception.
+ */
+public final class Choice implements Decisions, Decisions.Events {
+  private static final double SECOND = 1e9; // nanoseconds
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+
+  // The bound.
+  private static final double BOUND_THREADS = 8; // threads a core at the start, given by the design
+  private static final double BOUND_FLOOR = 1.5; // threads a core; an engine does its most at one to two
+  private static final double BOUND_CUT = 0.85; // a cut under pressure: halved in about four steps
+  private static final double BOUND_GROWTH = 1.05; // regained more slowly than lost
+  private static final long BOUND_PAUSE = 300 * MILLISECOND; // between changes, so that each can show
+  private static final double SLOW = 0.6; // share of its aim that a query takes: slow from here on
+  private static final double CALM = 0.4; // ... and calm up to here
+  private static final double BUSY = 0.95; // share of cores in use that a report calls busy
+  private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
+  private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
+
+  // The estimate.
+  private static final double RATIO_WEIGHT = 0.2; // given by the design
+  private static final double RATIO_LEAST = 0.25; // one odd answer must not make an engine look free
+  private static final double RATIO_MOST = 20; // ... nor close it for good
+  private static final double LEARN_WEIGHT = 0.02; // of a class's newest query, after the first few
+  private static final double UNKNOWN_COST = 0.25; // share of the deadline; a high guess keeps cold engines safe
+  private static final double GRANT_MARGIN = 1.15; // grant over the need expected: a spill costs more
+
+  // Holding.
+  private static final double HOLD_SHARE = 0.1; // of the query's time; "a small part" in the design
+  private static final long TICK = 25 * MILLISECOND; // between looks at the line, engines and attempts
+
+  // Health.
+  private static final double ERROR_WEIGHT = 0.2; // of the newest outcome in an engine's share of errors
+  private static final double ERRORS_BAD = 0.35; // share of errors that rests an engine: three in a row
+  private static final long REST = 1_000 * MILLISECOND; // first rest, doubled with each further trouble
+  private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
+  private static final double SILENT_NOTES = 4; // note periods without a sign: silence
+  private static final long PROBE_GAP = 1_000 * MILLISECOND; // between probes of one engine
+  private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
+  private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
+
+  // Guards.
+  private static final double COLD_MARGIN = 0.4; // of the cold budget: speeds and skew are not known
+  private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
+  private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
+  private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
+  private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
+  private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
+  private static final long LOAD_MARK = 1_000 * MILLISECOND; // a note of a wait for a load holds so long
+  private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
+  private static final long TICK_TOKEN = 0;
+  private static final long WATCH_TOKEN = 1;
+
+  private final Actions actions;
+  private Settings settings;
+  private SplittableRandom random;
+  private long lastTick;
+  private boolean ticking;
+  private long taken;
+  private double crossing;
+  private final Map<String, Engine> engines = new LinkedHashMap<>();
+  private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
+  private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
+  private final Map<String, KeyLine> keyLines = new LinkedHashMap<>();
+  private final List<ClassRecord> classes = new ArrayList<>();
+  private final List<TenantRecord> tenants = new ArrayList<>();
+  private final Set<Integer> boundKinds = new LinkedHashSet<>();
+  private SlidingSum takenInSpan;
+  private SlidingSum extrasInSpan;
+
+  /** A module that acts through the given front. */
+  public Choice(Actions actions) {
+    this.actions = actions;
+  }
+
+  // ---- The gateway and its engines ----
+
+  @Override
+  public void start(long now, long seed, Settings s) {
+    settings = s;
+    random = new SplittableRandom(seed);
+    s.classes().forEach(c -> classes.add(new ClassRecord(c)));
+    s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
+    s.tenants().forEach(t -> tenants.add(new TenantRecord(t.quotaPerSecond() / s.gateways())));
+    classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
+    crossing = s.crossPrice() * CROSS_WEIGHT;
+    takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
+    extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
+    if (s.subscribe()) {
+      actions.watch();
+    }
+    keepTicking(now);
+  }
+
+  @Override
+  public void engines(long now, boolean complete, List<EngineInfo> entries) {
+    Set<String> named = new LinkedHashSet<>();
+    for (EngineInfo entry : entries) {
+      named.add(entry.name());
+      Engine e = engines.computeIfAbsent(entry.name(), Engine::new);
+      boolean restarted = e.info == null || entry.since() > e.info.since();
+      e.info = entry;
+      e.state = entry.state();
+      if (restarted) {
+        restart(now, e, entry);
+      }
+    }
+    for (Engine e : engines.values()) {
+      if (complete && !named.contains(e.name)) {
+        e.state = EngineState.GONE;
+      }
+    }
+    engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
+    release(now);
+  }
+
+  private void restart(long now, Engine e, EngineInfo entry) {
+    Kind kind = entry.kind() < settings.kinds().size() ? settings.kinds().get(entry.kind()) : new Kind(0, 0);
+    e.cores = kind.cores() > 0 ? kind.cores() : Math.max(1, entry.weight());
+    e.memoryMb = kind.memoryMb();
+    e.bound = mostThreads(e);
+    e.strain = 0;
+    e.troubles = 0;
+    e.errors = 0;
+    e.restUntil = now;
+    e.warm.clear();
+    e.heldGroups.clear();
+    e.coldWork = new SlidingSum(settings.rules().fallTime());
+    e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
+  }
+
+  private double mostThreads(Engine e) {
+    return Math.max(widest(), e.cores * BOUND_THREADS / settings.gateways());
+  }
+
+  private int widest() {
+    int widest = 1;
+    for (ClassRecord c : classes) {
+      widest = Math.max(widest, c.kind.threads());
+    }
+    return widest;
+  }
+
+  @Override
+  public void listUnavailable(long now) {
+    if (settings.subscribe()) {
+      actions.timer((long) SECOND, WATCH_TOKEN);
+    }
+  }
+
+  // ---- Arrival ----
+
+  @Override
+  public void arrive(long now, Query query) {
+    QueryClass kind = settings.classes().get(query.queryClass());
+    long time = Math.min(kind.deadline(), query.timeLeft());
+    QueryRecord q = new QueryRecord(query, kind, taken++, now, now + time);
+    queries.put(query.id(), q);
+    takenInSpan.add(now, 1);
+    q.beyondShare = beyondShare(now, query.tenant());
+    learnCost(q);
+    if (kind.ordered() && query.key() != null) {
+      q.keyLine = keyLines.computeIfAbsent(query.key(), KeyLine::new);
+      q.keyLine.queries.addLast(q);
+    }
+    q.heldUntil = now + (long) (time * HOLD_SHARE);
+    boolean itsTurn = itsTurn(now, q);
+    Engine engine = itsTurn ? pick(now, q) : null;
+    if (engine != null && seconds(time) >= estimate(q, engine.ratio)) {
+      send(now, q, engine);
+    } else if (predictedWait(now, q) + estimate(q, meanRatio()) > seconds(time)
+        || itsTurn && q.beyondShare) {
+      giveUp(now, q);
+    } else {
+      held.put(q.number, q);
+    }
+    keepTicking(now);
+  }
+
+  /** True where the tenant has used up its share for now; under pressure such queries give way first. */
+  private boolean beyondShare(long now, int tenant) {
+    if (tenant >= tenants.size() || tenants.get(tenant).perSecond <= 0) {
+      return false;
+    }
+    TenantRecord t = tenants.get(tenant);
+    double most = Math.max(1, t.perSecond * TENANT_BURST);
+    t.left = t.filledAt == 0 ? most : Math.min(most, t.left + t.perSecond * seconds(now - t.filledAt));
+    t.filledAt = now;
+    if (t.left < 1) {
+      return true;
+    }
+    t.left--;
+    return false;
+  }
+
+  /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
+  private double predictedWait(long now, QueryRecord q) {
+    double work = 0;
+    double ratio = meanRatio();
+    for (QueryRecord h : held.values()) {
+      work += itsTurn(now, h) ? estimate(h, ratio) * h.kind.threads() : 0;
+    }
+    double bound = 0;
+    for (Engine e : engines.values()) {
+      bound += open(now, q, e) ? e.bound : 0;
+    }
+    return work / Math.max(bound, q.kind.threads()) + keyWait(q, ratio);
+  }
+
+  /** The time that the earlier queries of its key still need. */
+  private double keyWait(QueryRecord q, double ratio) {
+    double wait = 0;
+    if (q.keyLine != null) {
+      for (QueryRecord earlier : q.keyLine.queries) {
+        wait += earlier == q ? 0 : estimate(earlier, ratio) * (1 - done(earlier));
+      }
+    }
+    return wait;
+  }
+
+  private double done(QueryRecord q) {
+    double done = 0;
+    for (Attempt a : q.attempts) {
+      done = a.ended ? done : Math.max(done, a.share);
+    }
+    return done;
+  }
+
+  // ---- The estimate ----
+
+  /** Seconds that the query takes on an engine of that ratio. */
+  private double estimate(QueryRecord q, double ratio) {
+    ClassRecord c = classes.get(q.query.queryClass());
+    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.meanTime) * ratio;
+  }
+
+  /** Seconds of work of all its threads, as far as it is known. */
+  private double cost(QueryRecord q) {
+    ClassRecord c = classes.get(q.query.queryClass());
+    double usual = c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
+    return q.query.cost() > 0 ? seconds(q.query.cost()) : usual;
+  }
+
+  private double memory(QueryRecord q) {
+    ClassRecord c = classes.get(q.query.queryClass());
+    return q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+  }
+
+  private double meanRatio() {
+    double sum = 0;
+    int count = 0;
+    for (Engine e : engines.values()) {
+      if (e.state == EngineState.UP) {
+        sum += e.ratio;
+        count++;
+      }
+    }
+    return count > 0 ? sum / count : 1;
+  }
+
+  private void learnCost(QueryRecord q) {
+    ClassRecord c = classes.get(q.query.queryClass());
+    if (q.query.cost() > 0) {
+      c.meanCost = average(c.meanCost, seconds(q.query.cost()), c.costs++);
+      if (c.served == 0) {
+        c.factor = c.kind.aim() / SECOND / c.meanCost; // starts at the aim over the usual cost
+      }
+    }
+  }
+
+  /** Learns from an answer what its class takes and how its engine compares. */
+  private void learn(long now, Attempt a, AttemptEnd end) {
+    QueryRecord q = a.query;
+    ClassRecord c = classes.get(q.query.queryClass());
+    Engine e = a.engine;
+    double time = seconds(end.spent());
+    if (end.costMs() > 0 && q.query.cost() <= 0) {
+      c.meanCost = average(c.meanCost, end.costMs() / 1e3, c.costs++);
+    }
+    if (end.memoryMb() > 0) {
+      c.meanMemory = average(c.meanMemory, end.memoryMb(), c.memories);
+      if (q.query.memoryMb() > 0) {
+        c.memoryFactor = average(c.memoryFactor, end.memoryMb() / q.query.memoryMb(), c.memories);
+      }
+      c.memories++;
+    }
+    double own = time / e.ratio;
+    if (q.query.cost() > 0) {
+      double weight = seconds(q.query.cost()) / c.meanCost; // the long ones tell most of the factor
+      c.factor = average(c.factor, own / seconds(q.query.cost()), c.served, Math.min(weight, 3));
+    }
+    c.meanTime = average(c.meanTime, own, c.served);
+    c.served++;
+    double ratio = time / Math.max(a.predicted, 1e-3);
+    e.ratio = clamp(e.ratio + RATIO_WEIGHT * (ratio - e.ratio), RATIO_LEAST, RATIO_MOST);
+    double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
+    double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
+    noteStrain(now, e, time / aim, work);
+  }
+
+  private double average(double mean, double value, int count) {
+    return average(mean, value, count, 1);
+  }
+
+  private double average(double mean, double value, int count, double weight) {
+    return mean + Math.min(1, weight * Math.max(LEARN_WEIGHT, 1.0 / (count + 1))) * (value - mean);
+  }
+
+  // ---- The bound, and whether it binds ----
+
+  /** Moves the bound by what share of its aim a query took; long queries tell more than short ones. */
+  private void noteStrain(long now, Engine e, double strain, double work) {
+    double usual = 0;
+    for (ClassRecord c : classes) {
+      usual += c.meanCost / classes.size();
+    }
+    e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
+    if (now - e.boundChangedAt < BOUND_PAUSE) {
+      return;
+    }
+    double least = Math.max(widest(), e.cores * BOUND_FLOOR / settings.gateways());
+    if (e.strain > SLOW) {
+      e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
+      e.boundChangedAt = now;
+    } else if (e.strain < CALM) {
+      e.bound = Math.min(mostThreads(e), e.bound * BOUND_GROWTH);
+      e.boundChangedAt = now;
+    }
+  }
+
+  /** The three signs of pressure: slow latency, a busy report, a full refusal. */
+  private boolean pressed(long now, Engine e) {
+    boolean busy = e.report != null && now - e.reportAt < REPORT_AGE
+        && (e.report.util() > BUSY || e.report.queue() >= 1);
+    return e.strain > SLOW || e.bound < mostThreads(e) || busy || now < e.fullUntil;
+  }
+
+  private boolean hasRoom(long now, QueryRecord q, Engine e) {
+    return !pressed(now, e) || e.threads + q.kind.threads() <= e.bound;
+  }
+
+  // ---- The choice of engine ----
+
+  /** Whether the rules and the engine's health leave it open to the query. */
+  private boolean open(long now, QueryRecord q, Engine e) {
+    return permitted(now, q, e) && healthy(now, e);
+  }
+
+  private boolean permitted(long now, QueryRecord q, Engine e) {
+    return e.state == EngineState.UP
+        && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
+        && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
+        && repeatAllowed(now, q, e)
+        && (now >= e.coldUntil || e.coldWork.sum(now) + coldCost(q) <= coldBudget(e));
+  }
+
+  /** Work that this gateway may send to a cold engine within the rule's time. */
+  private double coldBudget(Engine e) {
+    Rules r = settings.rules();
+    return COLD_MARGIN * r.fallMultiple() * r.coldShare() * BUSY_CORES * e.cores * seconds(r.fallTime())
+        / settings.gateways();
+  }
+
+  /** The rule weighs a query by the usual work of its class; its own estimate counts where it is higher. */
+  private double coldCost(QueryRecord q) {
+    ClassRecord c = classes.get(q.query.queryClass());
+    double usual = c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
+    return Math.max(usual, cost(q));
+  }
+
+  /** An engine in trouble rests, then gets one query at a time until one is served. */
+  private boolean healthy(long now, Engine e) {
+    return now >= e.restUntil;
+  }
+
+  /** Whether a further attempt there keeps the rule on effects; a first one always does. */
+  private boolean repeatAllowed(long now, QueryRecord q, Engine e) {
+    if (q.firstRunAt < 0 || q.kind.effect() == Effect.SAFE) {
+      return true;
+    }
+    boolean inGroup = switch (q.kind.scope()) {
+      case ALL -> true;
+      case ZONE -> e.info.zone() == q.firstRunOn.info.zone();
+      case CELL -> e.info.cell() == q.firstRunOn.info.cell();
+    };
+    return q.kind.effect() == Effect.KEYED && inGroup
+        && now < q.firstRunAt + q.kind.keyWindow() - 2 * settings.tick();
+  }
+
+  /** The less loaded of two drawn engines with room; null where none has. */
+  private Engine pick(long now, QueryRecord q) {
+    List<Engine> able = new ArrayList<>();
+    List<Engine> fresh = new ArrayList<>();
+    for (Engine e : engines.values()) {
+      if (open(now, q, e) && hasRoom(now, q, e)) {
+        able.add(e);
+        if (!triedOn(q, e)) {
+          fresh.add(e);
+        }
+      }
+    }
+    List<Engine> draw = fresh.isEmpty() ? able : fresh;
+    if (draw.size() < 2) {
+      return draw.isEmpty() ? null : draw.get(0);
+    }
+    int first = random.nextInt(draw.size());
+    int second = random.nextInt(draw.size() - 1);
+    Engine a = draw.get(first);
+    Engine b = draw.get(second < first ? second : second + 1);
+    return load(now, q, a) <= load(now, q, b) ? a : b;
+  }
+
+  private boolean triedOn(QueryRecord q, Engine e) {
+    for (Attempt a : q.attempts) {
+      if (a.engine == e) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private double load(long now, QueryRecord q, Engine e) {
+    double load = (1 + (e.threads + q.kind.threads()) * settings.gateways() / e.cores) * e.ratio;
+    if (e.report != null && now - e.reportAt < REPORT_AGE) {
+      load *= 1 + zeroIfUnknown(e.report.util()) + zeroIfUnknown(e.report.queue()) / e.cores;
+    }
+    if (e.warm.contains(q.query.group())) {
+      load *= WARM_DISCOUNT;
+    }
+    if (heldByLoad(now, q, e)) {
+      load *= 4;
+    }
+    if (e.info.zone() != settings.zone()) {
+      load *= 1 + crossing;
+    }
+    if (q.kind.kinds().isEmpty() && boundKinds.contains(e.info.kind())) {
+      load *= BOUND_KIND;
+    }
+    return load;
+  }
+
+  private boolean heldByLoad(long now, QueryRecord q, Engine e) {
+    if (!q.kind.load() && !q.kind.waitsForLoads()) {
+      return false;
+    }
+    return e.loads.getOrDefault(q.query.group(), 0) > 0 || e.heldGroups.getOrDefault(q.query.group(), 0L) > now;
+  }
+
+  // ---- Sending ----
+
+  private void send(long now, QueryRecord q, Engine e) {
+    held.remove(q.number);
+    Attempt a = new Attempt(q, q.attempts.size(), e, now);
+    a.threads = q.kind.threads();
+    a.memory = memory(q);
+    a.predicted = estimate(q, 1);
+    if (a.number > 0) {
+      extrasInSpan.add(now, 1);
+    }
+    setTerms(q);
+    actions.send(q.query.id(), e.name, 0);
+    q.attempts.add(a);
+    q.out++;
+    e.out.add(a);
+    e.threads += a.threads;
+    e.memory += a.memory;
+    if (q.kind.load()) {
+      e.loads.merge(q.query.group(), 1, Integer::sum);
+    }
+    e.warm.remove(q.query.group());
+    e.warm.add(q.query.group());
+    if (e.warm.size() > WARM_GROUPS) {
+      Iterator<Integer> oldest = e.warm.iterator();
+      oldest.next();
+      oldest.remove();
+    }
+    if (now < e.coldUntil) {
+      e.coldWork.add(now, coldCost(q));
+    }
+    if (e.out.size() == 1) {
+      e.lastSign = now;
+    }
+    if (e.troubles > 0) {
+      e.restUntil = now + REST;
+    }
+  }
+
+  /** Grant and priority, where the engines heed them. */
+  private void setTerms(QueryRecord q) {
+    Traits traits = settings.traits();
+    int priority = priority(q);
+    ClassRecord c = classes.get(q.query.queryClass());
+    double grant = traits.grants() && c.memories > 0 ? memory(q) * GRANT_MARGIN : 0;
+    if (traits.priorities() && priority != 1 || grant > 0) {
+      actions.terms(q.query.id(), grant, priority);
+    }
+    q.priority = priority;
+  }
+
+  /** The classes that earn most for their work go ahead; what is beyond a share comes last. */
+  private int priority(QueryRecord q) {
+    if (q.beyondShare) {
+      return 0;
+    }
+    double worth = 0;
+    double cost = 0;
+    for (ClassRecord c : classes) {
+      worth += c.kind.worth() / classes.size();
+      cost += c.meanCost / classes.size();
+    }
+    ClassRecord c = classes.get(q.query.queryClass());
+    return c.meanCost > 0 && c.kind.worth() / c.meanCost > 1.5 * worth / Math.max(cost, 1e-9) ? 3 : 1;
+  }
+
+  // ---- While an attempt is out ----
+
+  @Override
+  public void streaming(long now, String query, int attempt) {
+    QueryRecord q = queries.get(query);
+    if (q != null) {
+      q.streaming = true;
+    }
+  }
+
+  @Override
+  public void note(long now, Note note) {
+    QueryRecord q = queries.get(note.query());
+    if (q == null || note.attempt() >= q.attempts.size()) {
+      return;
+    }
+    Attempt a = q.attempts.get(note.attempt());
+    a.engine.lastSign = now;
+    if (note.kind() == NoteKind.LOAD_WAIT) {
+      a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
+    } else if (note.kind() == NoteKind.PROGRESS) {
+      a.share = note.amount();
+      if (badPlan(now, a)) {
+        abandon(now, a);
+      }
+    }
+  }
+
+  /** A bad plan shows as a share far behind; the engine's own ratio tells a slow engine apart. */
+  private boolean badPlan(long now, Attempt a) {
+    if (a.share <= 0 || a.share >= 1 || a.predicted <= 0) {
+      return false;
+    }
+    double spent = seconds(now - a.sentAt);
+    double whole = spent / a.share;
+    double usual = estimate(a.query, Math.max(a.engine.ratio, meanRatio()));
+    return a.query.query.cost() > 0 && whole > BAD_PLAN * usual && whole - spent > RESEND_GAIN * usual
+        && now + (long) (usual * SECOND) < a.query.deadline;
+  }
+
+  /** Cancels an attempt so that the query can go elsewhere, where that is allowed and of use. */
+  private void abandon(long now, Attempt a) {
+    QueryRecord q = a.query;
+    if (a.ended || a.abandoned || q.over || q.streaming || !settings.limits().cancel()
+        || !furtherAllowed(now, q) || q.kind.effect() == Effect.UNSAFE) {
+      return;
+    }
+    for (Engine e : engines.values()) {
+      boolean keepsWindow = q.kind.effect() == Effect.SAFE
+          || repeatAllowed(now, withRun(q, a), e);
+      if (e != a.engine && open(now, q, e) && hasRoom(now, q, e) && keepsWindow) {
+        a.abandoned = true;
+        actions.cancel(q.query.id(), a.number);
+        return;
+      }
+    }
+  }
+
+  private QueryRecord withRun(QueryRecord q, Attempt a) {
+    if (q.firstRunAt < 0) {
+      q.firstRunAt = a.sentAt;
+      q.firstRunOn = a.engine;
+    }
+    return q;
+  }
+
+  /** The rule on further attempts, and the most attempts of one query. */
+  private boolean furtherAllowed(long now, QueryRecord q) {
+    Rules r = settings.rules();
+    return q.attempts.size() < settings.limits().maxAttempts() && (r.lookBack() <= 0
+        || extrasInSpan.sum(now) + 1 <= r.extraFree() + r.extraPerQuery() * takenInSpan.sum(now));
+  }
+
+  // ---- The end of an attempt ----
+
+  @Override
+  public void end(long now, AttemptEnd end) {
+    QueryRecord q = queries.get(end.query());
+    if (q == null || end.attempt() >= q.attempts.size()) {
+      return;
+    }
+    Attempt a = q.attempts.get(end.attempt());
+    settle(now, q, a, end);
+    judge(now, a, end);
+    if (end.outcome() == Outcome.SERVED) {
+      learn(now, a, end);
+    }
+    if (end.over()) {
+      q.over = true;
+    }
+    if (!q.over && q.out == 0) {
+      goOn(now, q);
+    }
+    forget(now, q);
+    release(now);
+  }
+
+  private void settle(long now, QueryRecord q, Attempt a, AttemptEnd end) {
+    Engine e = a.engine;
+    a.ended = true;
+    q.out--;
+    e.out.remove(a);
+    e.threads -= a.threads;
+    e.memory -= a.memory;
+    if (q.kind.load()) {
+      e.loads.merge(q.query.group(), -1, (x, y) -> x + y == 0 ? null : x + y);
+    }
+    if (end.outcome().mayHaveRun) {
+      withRun(q, a);
+    }
+    boolean mayRunOn = end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.RESET
+        || end.outcome() == Outcome.CANCELLED;
+    if (q.keyLine != null && mayRunOn) {
+      q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
+    }
+    if (end.report() != null) {
+      e.report = end.report();
+      e.reportAt = now;
+    }
+  }
+
+  /** Health by symptom: errors, resets and failed connects are trouble, an answer ends it. */
+  private void judge(long now, Attempt a, AttemptEnd end) {
+    Engine e = a.engine;
+    boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
+        || end.outcome() == Outcome.UNREACHED;
+    if (bad) {
+      e.errors += ERROR_WEIGHT * (1 - e.errors);
+      if (e.errors > ERRORS_BAD) {
+        rest(now, e);
+      }
+    } else if (end.outcome() == Outcome.SERVED) {
+      e.errors -= ERROR_WEIGHT * e.errors;
+      e.lastSign = now;
+      if (e.errors <= ERRORS_BAD) {
+        e.troubles = 0;
+      }
+    } else if (end.outcome() == Outcome.FULL) {
+      e.fullUntil = now + FULL_REST;
+      e.bound = Math.max(widest(), Math.min(e.bound, e.threads) * BOUND_CUT);
+    }
+  }
+
+  private void rest(long now, Engine e) {
+    if (now >= e.restUntil) {
+      e.restUntil = now + (REST << Math.min(e.troubles, REST_DOUBLINGS));
+      e.troubles++;
+    }
+  }
+
+  /** After a failed attempt: elsewhere at once, else held as at arrival, else the final answer. */
+  private void goOn(long now, QueryRecord q) {
+    boolean late = now + (long) (estimate(q, meanRatio()) * SECOND) > q.deadline;
+    if (late || !furtherAllowed(now, q) || !repeatPossible(now, q)) {
+      giveUp(now, q);
+      return;
+    }
+    Engine engine = pick(now, q);
+    if (engine != null) {
+      send(now, q, engine);
+    } else {
+      q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
+      held.put(q.number, q);
+    }
+  }
+
+  private boolean repeatPossible(long now, QueryRecord q) {
+    for (Engine e : engines.values()) {
+      if (e.state == EngineState.UP && repeatAllowed(now, q, e)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // ---- The held line ----
+
+  /** Releases held queries, oldest first; a query that waits for its key holds up nobody else. */
+  private void release(long now) {
+    if (held.isEmpty()) {
+      return;
+    }
+    boolean blocked = false;
+    for (QueryRecord q : new ArrayList<>(held.values())) {
+      boolean itsTurn = itsTurn(now, q);
+      if (itsTurn && q.keyLine != null && q.attempts.isEmpty()) {
+        q.heldUntil = Math.max(q.heldUntil, now + TICK);
+      }
+      double left = estimate(q, meanRatio()) + (itsTurn ? 0 : keyWait(q, meanRatio()));
+      if (now + (long) (left * SECOND) > q.deadline) {
+        giveUp(now, q);
+        continue;
+      }
+      boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
+      Engine e = itsTurn && (!blocked || bound) ? pick(now, q) : null;
+      if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
+        send(now, q, e);
+      } else if (itsTurn && now >= q.heldUntil) {
+        giveUp(now, q);
+      } else {
+        blocked |= itsTurn && !bound;
+      }
+    }
+  }
+
+  private boolean itsTurn(long now, QueryRecord q) {
+    return q.keyLine == null || q.keyLine.queries.peekFirst() == q && now >= q.keyLine.restUntil;
+  }
+
+  // ---- The final answer ----
+
+  /** Refuses where the rules let us promise that trying again is harmless, else fails. */
+  private void giveUp(long now, QueryRecord q) {
+    held.remove(q.number);
+    q.over = true;
+    boolean harmless = q.firstRunAt < 0 && q.out == 0 || q.kind.effect() == Effect.SAFE
+        || q.kind.effect() == Effect.KEYED && q.kind.scope() == Scope.ALL;
+    if (harmless) {
+      long whole = (long) Math.max(1, Math.ceil(predictedWait(now, q)));
+      actions.refuse(q.query.id(), settings.limits().retryAfter() ? whole * (long) SECOND : 0);
+    } else {
+      actions.fail(q.query.id());
+    }
+    forget(now, q);
+  }
+
+  @Override
+  public void leave(long now, String query) {
+    QueryRecord q = queries.get(query);
+    if (q == null) {
+      return;
+    }
+    held.remove(q.number);
+    q.over = true;
+    for (Attempt a : q.attempts) {
+      if (!a.ended && !a.abandoned && settings.limits().cancel()) {
+        a.abandoned = true;
+        actions.cancel(query, a.number);
+      }
+    }
+    forget(now, q);
+    release(now);
+  }
+
+  private void forget(long now, QueryRecord q) {
+    if (!q.over || q.out > 0) {
+      return;
+    }
+    queries.remove(q.query.id());
+    if (q.keyLine != null) {
+      q.keyLine.queries.remove(q);
+      if (q.keyLine.queries.isEmpty() && now >= q.keyLine.restUntil) {
+        keyLines.remove(q.keyLine.key);
+      }
+    }
+  }
+
+  // ---- Time ----
+
+  private void keepTicking(long now) {
+    if (!ticking) {
+      ticking = true;
+      lastTick = now;
+      actions.timer(TICK, TICK_TOKEN);
+    }
+  }
+
+  @Override
+  public void wake(long now, long token) {
+    if (token == WATCH_TOKEN) {
+      actions.watch();
+      return;
+    }
+    long stall = now - lastTick - 2 * TICK;
+    if (stall > 0) {
+      // After a stall of this gateway the line has aged unseen: its holding time counts anew from here.
+      held.values().forEach(q -> q.heldUntil += stall);
+    }
+    lastTick = now;
+    keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
+    engines.values().forEach(e -> watchOver(now, e));
+    release(now);
+    actions.timer(TICK, TICK_TOKEN);
+  }
+
+  /** Finds silent engines, and probes those that report on being asked. */
+  private void watchOver(long now, Engine e) {
+    long quiet = (long) (SILENT_NOTES * settings.traits().notePeriod());
+    if (quiet > 0 && !e.out.isEmpty() && now - e.lastSign > quiet) {
+      rest(now, e);
+      for (Attempt a : new ArrayList<>(e.out)) {
+        abandon(now, a);
+      }
+    }
+    if (settings.limits().probes() && settings.traits().reports() && !e.probing
+        && e.state == EngineState.UP && now - e.probedAt >= PROBE_GAP) {
+      e.probing = true;
+      e.probedAt = now;
+      actions.probe(e.name);
+    }
+  }
+
+  @Override
+  public void probed(long now, String engine, boolean answered, Report report) {
+    Engine e = engines.get(engine);
+    if (e == null) {
+      return;
+    }
+    e.probing = false;
+    if (answered && report != null) {
+      e.report = report;
+      e.reportAt = now;
+    }
+  }
+
+  @Override
+  public void heard(long now, int peer, byte[] message) {
+    // Gateways share nothing here: peers' messages may be lost, and no decision rests on them.
+  }
+
+  private static double seconds(long time) {
+    return time / SECOND;
+  }
+
+  private static double zeroIfUnknown(double value) {
+    return Double.isNaN(value) ? 0 : value;
+  }
+
+  private static double clamp(double value, double least, double most) {
+    return Math.max(least, Math.min(most, value));
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/benchlink/ActionWriter.java
@@ -0,0 +1,102 @@
+package reachloom.benchlink;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import reachloom.Decisions.Actions;
+
+/** Writes the actions of one instance into the reply that is being put together. */
+final class ActionWriter implements Actions {
+  private final String instance;
+  private JsonGenerator out;
+
+  ActionWriter(String instance) {
+    this.instance = instance;
+  }
+
+  void writeTo(JsonGenerator reply) {
+    out = reply;
+  }
+
+  @Override
+  public void send(String query, String engine, long timeout) {
+    write("Relay", () -> {
+      out.writeStringField("handle", query);
+      out.writeStringField("node", engine);
+      out.writeNumberField("tryFor", timeout);
+    });
+  }
+
+  @Override
+  public void terms(String query, double grantMb, int priority) {
+    write("LimitsFor", () -> {
+      out.writeStringField("handle", query);
+      out.writeNumberField("allotMb", grantMb);
+      out.writeNumberField("weightClass", priority);
+    });
+  }
+
+  @Override
+  public void cancel(String query, int attempt) {
+    write("StopAttempt", () -> {
+      out.writeStringField("handle", query);
+      out.writeNumberField("sendNo", attempt);
+    });
+  }
+
+  @Override
+  public void refuse(String query, long retryAfter) {
+    write("Busy", () -> {
+      out.writeStringField("handle", query);
+      out.writeNumberField("stayAway", retryAfter);
+    });
+  }
+
+  @Override
+  public void fail(String query) {
+    write("Surrender", () -> out.writeStringField("handle", query));
+  }
+
+  @Override
+  public void timer(long delay, long token) {
+    write("WakeAt", () -> {
+      out.writeNumberField("sleepFor", delay);
+      out.writeNumberField("nonce", token);
+    });
+  }
+
+  @Override
+  public void probe(String engine) {
+    write("SoundOut", () -> out.writeStringField("node", engine));
+  }
+
+  @Override
+  public void watch() {
+    write("Watch", () -> out.writeBooleanField("on", true));
+  }
+
+  @Override
+  public void log(String line) {
+    write("JournalLine", () -> out.writeStringField("words", line));
+  }
+
+  void bailOut(String cause) {
+    write("BailOut", () -> out.writeStringField("words", cause));
+  }
+
+  private void write(String name, Fields fields) {
+    try {
+      out.writeStartObject();
+      out.writeStringField("cmd", name);
+      out.writeStringField("gatewayId", instance);
+      fields.write();
+      out.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private interface Fields {
+    void write() throws IOException;
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -0,0 +1,256 @@
+package reachloom.benchlink;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import reachloom.Choice;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.Report;
+
+/** The simulator's wire: batches of events in, one reply each out, for many instances at once. */
+public final class BenchLink {
+  private static final NoteKind[] NOTE_KINDS =
+      {NoteKind.OTHER, NoteKind.PROGRESS, NoteKind.SPILL, NoteKind.MEMORY_WAIT, NoteKind.LOAD_WAIT};
+  private static final Map<String, Outcome> OUTCOMES = Map.of("S", Outcome.SERVED, "E", Outcome.ERROR,
+      "F", Outcome.FULL, "T", Outcome.TIMEOUT, "C", Outcome.UNREACHED, "R", Outcome.RESET,
+      "X", Outcome.CANCELLED, "N", Outcome.NOT_SENT);
+  private static final Map<String, EngineState> STATES = Map.of("up", EngineState.UP,
+      "draining", EngineState.DRAINING, "removed", EngineState.GONE);
+
+  private final ObjectMapper mapper = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private final Map<Integer, List<EngineInfo>> sheets = new HashMap<>();
+  private final Map<String, Instance> instances = new HashMap<>();
+  private final Set<String> unknownEvents = new HashSet<>();
+  private final Factory factory;
+  private final PrintStream err;
+
+  /** Makes the decision module of an instance. */
+  interface Factory {
+    Events create(Actions actions);
+  }
+
+  private record Instance(Events events, ActionWriter actions) {
+  }
+
+  /** A link whose instances each hold a {@link Choice}. */
+  public BenchLink(PrintStream err) {
+    this(err, Choice::new);
+  }
+
+  BenchLink(PrintStream err, Factory factory) {
+    this.err = err;
+    this.factory = factory;
+  }
+
+  /** Answers batches until the input ends; returns the exit status. */
+  public int serve(InputStream in, OutputStream out) throws IOException {
+    BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
+    long last = -1;
+    for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+      JsonNode batch;
+      try {
+        batch = parse(line, last);
+        last = batch.path("batch").asLong();
+        String reply = answer(batch);
+        out.write(reply.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+      } catch (MalformedBatchException e) {
+        err.println("reachloom: " + e.getMessage());
+        return 1;
+      }
+    }
+    return 0;
+  }
+
+  private JsonNode parse(String line, long last) throws MalformedBatchException {
+    JsonNode batch;
+    try {
+      batch = mapper.readTree(line);
+    } catch (JsonProcessingException e) {
+      throw new MalformedBatchException(
+          "the line after batch " + last + " is not one JSON value: " + e.getOriginalMessage());
+    }
+    if (!batch.isObject() || !batch.path("batch").isIntegralNumber()) {
+      throw new MalformedBatchException("the line after batch " + last + " is no batch with a whole number in 'batch'");
+    }
+    String name = "batch " + batch.path("batch").asLong() + ": ";
+    if (!batch.path("moment").isIntegralNumber()) {
+      throw new MalformedBatchException(name + "'moment' is not a whole number");
+    }
+    if (!batch.path("items").isArray()) {
+      throw new MalformedBatchException(name + "'items' is not an array");
+    }
+    return batch;
+  }
+
+  private String answer(JsonNode batch) throws IOException, MalformedBatchException {
+    long now = batch.path("moment").asLong();
+    long index = batch.path("batch").asLong();
+    StringWriter text = new StringWriter();
+    try (JsonGenerator reply = mapper.createGenerator(text)) {
+      reply.writeStartObject();
+      reply.writeNumberField("batch", index);
+      reply.writeArrayFieldStart("actions");
+      for (JsonNode item : batch.path("items")) {
+        try {
+          dispatch(now, item, reply);
+        } catch (MalformedBatchException e) {
+          throw new MalformedBatchException("batch " + index + ": " + e.getMessage());
+        }
+      }
+      reply.writeEndArray();
+      reply.writeEndObject();
+    }
+    return text.append('\n').toString();
+  }
+
+  private void dispatch(long now, JsonNode item, JsonGenerator reply) throws MalformedBatchException {
+    String name = text(item, "cmd", "an item");
+    if (name.equals("DefineList")) {
+      sheets.put(item.path("sheet").asInt(), entries(item));
+      return;
+    }
+    String id = text(item, "gatewayId", name);
+    Instance instance = instances.get(id);
+    if (name.equals("PowerOff")) {
+      instances.remove(id);
+      return;
+    }
+    if (name.equals("NewInstance")) {
+      ActionWriter writer = new ActionWriter(id);
+      instance = new Instance(factory.create(writer), writer);
+      instances.put(id, instance);
+    }
+    if (instance == null) {
+      return;
+    }
+    instance.actions().writeTo(reply);
+    try {
+      deliver(now, name, item, instance.events());
+    } catch (RuntimeException e) {
+      err.println("reachloom: " + id + " failed on " + name);
+      e.printStackTrace(err);
+      instances.remove(id);
+      instance.actions().bailOut(e.toString());
+    }
+  }
+
+  private void deliver(long now, String name, JsonNode item, Events events) throws MalformedBatchException {
+    switch (name) {
+      case "NewInstance" ->
+          events.start(now, item.path("entropy").asLong(), SettingsReader.read(item.path("bootInfo")));
+      case "BackendsChanged" -> engines(now, item, events);
+      case "Order" -> events.arrive(now, query(item, name));
+      case "Started" -> events.streaming(now, text(item, "handle", name), item.path("sendNo").asInt());
+      case "Progress" -> {
+        int sort = item.path("sort").asInt();
+        NoteKind kind = sort >= 0 && sort < NOTE_KINDS.length ? NOTE_KINDS[sort] : NoteKind.OTHER;
+        events.note(now, new Note(text(item, "handle", name), item.path("sendNo").asInt(),
+            item.path("node").asText(), kind, item.path("amount").asDouble()));
+      }
+      case "Finished" -> events.end(now, attemptEnd(item, name));
+      case "Left" -> events.leave(now, text(item, "handle", name));
+      case "DeadlineHit" -> events.wake(now, item.path("nonce").asLong());
+      case "ProbeResult" -> events.probed(now, text(item, "node", name),
+          "S".equals(item.path("ending").asText()), report(item.path("telemetry")));
+      case "NeighbourSays" ->
+          events.heard(now, item.path("neighbour").asInt(), bytes(item.path("raw").asText()));
+      default -> {
+        if (unknownEvents.add(name)) {
+          err.println("reachloom: event '" + name + "' is not known and skipped");
+        }
+      }
+    }
+  }
+
+  private void engines(long now, JsonNode item, Events events) throws MalformedBatchException {
+    String how = text(item, "how", "BackendsChanged");
+    if (how.equals("unavailable")) {
+      events.listUnavailable(now);
+      return;
+    }
+    List<EngineInfo> entries = sheets.get(item.path("sheet").asInt());
+    if (entries == null) {
+      throw new MalformedBatchException("BackendsChanged names list " + item.path("sheet") + ", never defined");
+    }
+    events.engines(now, !how.equals("update"), entries);
+  }
+
+  private static List<EngineInfo> entries(JsonNode list) throws MalformedBatchException {
+    List<EngineInfo> read = new ArrayList<>();
+    for (JsonNode host : list.path("hosts")) {
+      // A state not known here reads as draining: nothing new is sent.
+      read.add(new EngineInfo(text(host, "node", "a list entry"),
+          STATES.getOrDefault(host.path("state").asText("up"), EngineState.DRAINING), host.path("type").asInt(),
+          host.path("rackZone").asInt(), host.path("bay").asInt(), host.path("rating").asDouble(1),
+          host.path("since").asLong()));
+    }
+    return read;
+  }
+
+  private static Query query(JsonNode item, String name) throws MalformedBatchException {
+    JsonNode key = item.path("relation");
+    return new Query(text(item, "handle", name), item.path("qos").asInt(), item.path("billing").asInt(),
+        key.isTextual() ? key.asText() : null, item.path("patienceLeft").asLong(),
+        item.path("expected").asLong(), item.path("wantMb").asDouble(), item.path("dataGroup").asInt(-1),
+        item.path("againByClient").asBoolean());
+  }
+
+  private static AttemptEnd attemptEnd(JsonNode item, String name) throws MalformedBatchException {
+    long bill = item.path("bill").asLong();
+    // An ending not known here reads as one that may have run.
+    return new AttemptEnd(text(item, "handle", name), item.path("sendNo").asInt(), item.path("node").asText(),
+        OUTCOMES.getOrDefault(item.path("ending").asText(), Outcome.ERROR), item.path("spent").asLong(),
+        item.path("noMore").asBoolean(), bill / 4096, bill % 4096 * 4.0, report(item.path("telemetry")));
+  }
+
+  private static Report report(JsonNode values) {
+    return values.isObject() ? new Report(value(values, "util"), value(values, "queue"), value(values, "x0"),
+        value(values, "x1")) : null;
+  }
+
+  private static double value(JsonNode values, String name) {
+    return values.path(name).isNumber() ? values.path(name).asDouble() : Double.NaN;
+  }
+
+  private static byte[] bytes(String raw) throws MalformedBatchException {
+    try {
+      return Base64.getDecoder().decode(raw);
+    } catch (IllegalArgumentException e) {
+      throw new MalformedBatchException("NeighbourSays carries no base64: " + e.getMessage());
+    }
+  }
+
+  private static String text(JsonNode item, String field, String where) throws MalformedBatchException {
+    JsonNode value = item.path(field);
+    if (!value.isTextual()) {
+      throw new MalformedBatchException(where + " has no text in '" + field + "'");
+    }
+    return value.asText();
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/benchlink/SettingsReader.java
@@ -0,0 +1,100 @@
+package reachloom.benchlink;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.Kind;
+import reachloom.Decisions.Limits;
+import reachloom.Decisions.Overbooked;
+import reachloom.Decisions.QueryClass;
+import reachloom.Decisions.Rules;
+import reachloom.Decisions.Scope;
+import reachloom.Decisions.Settings;
+import reachloom.Decisions.Tenant;
+import reachloom.Decisions.Traits;
+
+/** Reads the settings object of a starting instance. Absent settings mean "none" or "not allowed". */
+final class SettingsReader {
+  private static final Map<String, Effect> EFFECTS =
+      Map.of("repeatable", Effect.SAFE, "by_key", Effect.KEYED, "once", Effect.UNSAFE);
+  private static final Map<String, Scope> SCOPES =
+      Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.CELL);
+  private static final Map<String, Overbooked> OVERBOOKED =
+      Map.of("queue", Overbooked.WAIT, "trim", Overbooked.SHRINK, "swap", Overbooked.PAGE);
+
+  private SettingsReader() {
+  }
+
+  static Settings read(JsonNode root) {
+    JsonNode special = root.path("specifics");
+    JsonNode prices = root.path("deductions");
+    return new Settings(Math.max(1, root.path("balancers").asInt()), root.path("selfIndex").asInt(),
+        root.path("zone").asInt(), "subscribe".equals(root.path("discovery").asText()),
+        root.path("tick").asLong(), root.path("overShareWorth").asDouble(1),
+        prices.path("crossZone").asDouble(), prices.path("probe").asDouble(),
+        prices.path("waste").asDouble(), classes(root.path("classes"), special), kinds(root, special),
+        tenants(root.path("orgs")), limits(root.path("limits")), rules(root.path("contract")),
+        traits(root, special));
+  }
+
+  private static List<QueryClass> classes(JsonNode classes, JsonNode special) {
+    List<QueryClass> read = new ArrayList<>();
+    for (JsonNode c : classes) {
+      int i = read.size();
+      // An effect or scope not known here reads as the strictest one.
+      read.add(new QueryClass(c.path("goalTime").asLong(), c.path("aimStretch").asDouble(),
+          c.path("giveUp").asLong(), c.path("worth").asDouble(), c.path("lateValue").asDouble(),
+          EFFECTS.getOrDefault(c.path("effect").asText(), Effect.UNSAFE),
+          SCOPES.getOrDefault(c.path("dedupScope").asText(), Scope.CELL), c.path("keyTtl").asLong(),
+          c.path("fifoByKey").asBoolean(), c.path("stream").asBoolean(), integers(c.path("allowedOn")),
+          integers(c.path("runsIn")), Math.max(1, special.path("widthByClass").path(i).asInt(1)),
+          special.path("classLoad").path(i).asBoolean(), special.path("yieldsToLoads").path(i).asBoolean()));
+    }
+    return List.copyOf(read);
+  }
+
+  private static List<Integer> integers(JsonNode values) {
+    List<Integer> read = new ArrayList<>();
+    values.forEach(v -> read.add(v.asInt()));
+    return List.copyOf(read);
+  }
+
+  private static List<Kind> kinds(JsonNode root, JsonNode special) {
+    int count = Math.max(root.path("kinds").size(), special.path("cpuOfKind").size());
+    List<Kind> read = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      read.add(new Kind(special.path("cpuOfKind").path(i).asInt(),
+          special.path("ramOfKindMb").path(i).asDouble()));
+    }
+    return List.copyOf(read);
+  }
+
+  private static List<Tenant> tenants(JsonNode orgs) {
+    List<Tenant> read = new ArrayList<>();
+    orgs.forEach(o -> read.add(new Tenant(o.path("quotaPerS").asDouble())));
+    return List.copyOf(read);
+  }
+
+  private static Limits limits(JsonNode limits) {
+    return new Limits(limits.path("maxAttempts").asInt(Integer.MAX_VALUE), limits.path("mayCancel").asBoolean(),
+        limits.path("probes").asBoolean(), limits.path("secondCopies").asBoolean(),
+        limits.path("retryAfter").asBoolean(), limits.path("maxRetryAfter").asLong(Long.MAX_VALUE));
+  }
+
+  private static Rules rules(JsonNode rules) {
+    return new Rules(rules.path("graceToAnswer").asLong(), rules.path("coldFrom").asDouble(),
+        rules.path("cold").asLong(), rules.path("fallMultiple").asDouble(), rules.path("fall").asLong(),
+        rules.path("orderSettle").asLong(), rules.path("lookBack").asLong(),
+        rules.path("minExtra").asDouble(), rules.path("extraPerRequest").asDouble());
+  }
+
+  private static Traits traits(JsonNode root, JsonNode special) {
+    String via = root.path("stats").path("via").asText();
+    return new Traits(special.path("grants").asBoolean(), special.path("takesPriority").asBoolean(),
+        "pull".equals(via) || "piggyback".equals(via), special.path("notePeriod").asLong(),
+        special.path("largestShare").asDouble(1),
+        OVERBOOKED.getOrDefault(special.path("overbooked").asText(), Overbooked.WAIT));
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -0,0 +1,24 @@
+package reachloom.state;
+
+/** One attempt of a query. */
+public final class Attempt {
+  public final QueryRecord query;
+  public final int number;
+  public final Engine engine;
+  public final long sentAt;
+  public int threads;
+  public double memory;
+  /** Predicted time, in seconds, before the engine's ratio. */
+  public double predicted;
+  public double share;
+  public boolean ended;
+  public boolean abandoned;
+
+  /** An attempt just sent. */
+  public Attempt(QueryRecord query, int number, Engine engine, long sentAt) {
+    this.query = query;
+    this.number = number;
+    this.engine = engine;
+    this.sentAt = sentAt;
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/state/Engine.java
@@ -0,0 +1,52 @@
+package reachloom.state;
+
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Report;
+
+/** What a gateway knows of one engine. */
+public final class Engine {
+  public final String name;
+  public EngineInfo info;
+  public EngineState state = EngineState.UP;
+  public double cores;
+  public double memoryMb;
+
+  /** Threads, memory and attempts of this gateway that are out there. */
+  public int threads;
+  public double memory;
+  public final Set<Attempt> out = new LinkedHashSet<>();
+  /** Loads of this gateway that are out there, by table group. */
+  public final Map<Integer, Integer> loads = new LinkedHashMap<>();
+  /** Until when a load of somebody else is taken to hold a table group. */
+  public final Map<Integer, Long> heldGroups = new LinkedHashMap<>();
+  /** Table groups read last, the latest at the end. */
+  public final Set<Integer> warm = new LinkedHashSet<>();
+
+  public double bound;
+  public double ratio = 1;
+  public double strain;
+  public long boundChangedAt;
+  public long fullUntil;
+
+  public double errors;
+  public int troubles;
+  public long restUntil;
+  public long lastSign;
+  public long coldUntil;
+  public SlidingSum coldWork;
+
+  public Report report;
+  public long reportAt;
+  public boolean probing;
+  public long probedAt;
+
+  /** An engine of that name. */
+  public Engine(String name) {
+    this.name = name;
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/state/QueryRecord.java
@@ -0,0 +1,35 @@
+package reachloom.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.QueryClass;
+
+/** A query that the gateway has taken, until it is answered and nothing of it is out. */
+public final class QueryRecord {
+  public final Query query;
+  public final QueryClass kind;
+  public final long number;
+  public final long arrivedAt;
+  public final long deadline;
+  public final List<Attempt> attempts = new ArrayList<>();
+  public int out;
+  public boolean over;
+  public boolean streaming;
+  public boolean beyondShare;
+  public long heldUntil;
+  /** When the first attempt that may have run was sent, and where; -1 while none may have. */
+  public long firstRunAt = -1;
+  public Engine firstRunOn;
+  public KeyLine keyLine;
+  public int priority = -1;
+
+  /** A query just taken. */
+  public QueryRecord(Query query, QueryClass kind, long number, long arrivedAt, long deadline) {
+    this.query = query;
+    this.kind = kind;
+    this.number = number;
+    this.arrivedAt = arrivedAt;
+    this.deadline = deadline;
+  }
+}
