Cut the bound on every tick under pressure and count memory as room

Also meant for bursts and for slowdowns of all engines; may refuse too much where a busy report is a false alarm.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -33,10 +33,12 @@
   private static final double BOUND_FLOOR = 1.5; // threads a core; an engine does its most at one to two
   private static final double BOUND_CUT = 0.85; // a cut under pressure: halved in about four steps
   private static final double BOUND_GROWTH = 1.05; // regained more slowly than lost
-  private static final long BOUND_PAUSE = 300 * MILLISECOND; // between changes, so that each can show
+  private static final long BOUND_PAUSE = 250 * MILLISECOND; // between changes, so that each can show
   private static final double SLOW = 0.6; // share of its aim that a query takes: slow from here on
   private static final double CALM = 0.4; // ... and calm up to here
-  private static final double BUSY = 0.95; // share of cores in use that a report calls busy
+  private static final double BUSY = 0.9; // share of cores, memory or disks in use that a report calls busy
+  private static final long PRESSURE_HOLD = 2_000 * MILLISECOND; // the bound binds on after a sign
+  private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
@@ -58,7 +60,7 @@
   private static final long REST = 1_000 * MILLISECOND; // first rest, doubled with each further trouble
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double SILENT_NOTES = 4; // note periods without a sign: silence
-  private static final long PROBE_GAP = 1_000 * MILLISECOND; // between probes of one engine
+  private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
@@ -318,7 +320,7 @@
     e.ratio = clamp(e.ratio + RATIO_WEIGHT * (ratio - e.ratio), RATIO_LEAST, RATIO_MOST);
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
-    noteStrain(now, e, time / aim, work);
+    noteStrain(e, time / aim, work);
   }
 
   private double average(double mean, double value, int count) {
@@ -331,35 +333,46 @@
 
   // ---- The bound, and whether it binds ----
 
-  /** Moves the bound by what share of its aim a query took; long queries tell more than short ones. */
-  private void noteStrain(long now, Engine e, double strain, double work) {
+  /** Averages what share of its aim a query took; long queries tell more than short ones. */
+  private void noteStrain(Engine e, double strain, double work) {
     double usual = 0;
     for (ClassRecord c : classes) {
       usual += c.meanCost / classes.size();
     }
     e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
+  }
+
+  /** Cuts the bound towards what is out there while an engine is pressed, lets it grow back when calm. */
+  private void moveBound(long now, Engine e) {
+    boolean pressed = pressed(now, e);
+    if (pressed) {
+      e.pressedUntil = now + PRESSURE_HOLD;
+    }
     if (now - e.boundChangedAt < BOUND_PAUSE) {
       return;
     }
-    double least = Math.max(widest(), e.cores * BOUND_FLOOR / settings.gateways());
-    if (e.strain > SLOW) {
+    e.boundChangedAt = now;
+    if (pressed) {
+      double least = Math.max(widest(), e.cores * BOUND_FLOOR / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
-      e.boundChangedAt = now;
     } else if (e.strain < CALM) {
       e.bound = Math.min(mostThreads(e), e.bound * BOUND_GROWTH);
-      e.boundChangedAt = now;
     }
   }
 
   /** The three signs of pressure: slow latency, a busy report, a full refusal. */
   private boolean pressed(long now, Engine e) {
     boolean busy = e.report != null && now - e.reportAt < REPORT_AGE
-        && (e.report.util() > BUSY || e.report.queue() >= 1);
-    return e.strain > SLOW || e.bound < mostThreads(e) || busy || now < e.fullUntil;
+        && (e.report.util() > BUSY || e.report.queue() >= 1 || e.report.memoryShare() > BUSY
+            || e.report.diskShare() > BUSY);
+    return e.strain > SLOW || busy || now < e.fullUntil;
   }
 
+  /** The bound binds only under pressure; memory that would page or make others wait counts as room, too. */
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
-    return !pressed(now, e) || e.threads + q.kind.threads() <= e.bound;
+    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
+    boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
+    return fits && (now >= e.pressedUntil || e.threads + q.kind.threads() <= e.bound);
   }
 
   // ---- The choice of engine ----
@@ -621,6 +634,8 @@
     judge(now, a, end);
     if (end.outcome() == Outcome.SERVED) {
       learn(now, a, end);
+    } else if (end.outcome() == Outcome.TIMEOUT) {
+      noteStrain(a.engine, 1, cost(q));
     }
     if (end.over()) {
       q.over = true;
@@ -815,7 +830,10 @@
     }
     lastTick = now;
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
-    engines.values().forEach(e -> watchOver(now, e));
+    for (Engine e : engines.values()) {
+      watchOver(now, e);
+      moveBound(now, e);
+    }
     release(now);
     actions.timer(TICK, TICK_TOKEN);
   }
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -31,6 +31,7 @@
   public double ratio = 1;
   public double strain;
   public long boundChangedAt;
+  public long pressedUntil;
   public long fullUntil;
 
   public double errors;
