--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -533,11 +533,8 @@
     q.priority = priority;
   }
 
-  /** The classes that earn most for their work go ahead; what is beyond a share comes last. */
+  /** The classes that earn most for their work go ahead. */
   private int priority(QueryRecord q) {
-    if (q.beyondShare) {
-      return 0;
-    }
     double worth = 0;
     double cost = 0;
     for (ClassRecord c : classes) {
