--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -57,9 +57,11 @@
   // Health.
   private static final double ERROR_WEIGHT = 0.2; // of the newest outcome in an engine's share of errors
   private static final double ERRORS_BAD = 0.35; // share of errors that rests an engine: three in a row
+  private static final double ERROR_LOAD = 3; // load for each unit of the share of errors
   private static final long REST = 1_000 * MILLISECOND; // first rest, doubled with each further trouble
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
-  private static final double SILENT_NOTES = 4; // note periods without a sign: silence
+  private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
+  private static final double SILENT_NOTES = 4; // note periods without a sign of an engine: silence
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
@@ -145,8 +147,12 @@
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.strain = 0;
-    e.troubles = 0;
+    e.lastSign = now;
+    for (Attempt a : new ArrayList<>(e.out)) {
+      lose(now, a, false); // what the old process ran is gone
+    }
     e.errors = 0;
+    e.troubles = 0;
     e.restUntil = now;
     e.warm.clear();
     e.heldGroups.clear();
@@ -456,7 +462,7 @@
   }
 
   private double load(long now, QueryRecord q, Engine e) {
-    double load = (1 + (e.threads + q.kind.threads()) * settings.gateways() / e.cores) * e.ratio;
+    double load = (1 + ERROR_LOAD * e.errors) * (1 + (e.threads + q.kind.threads()) * settings.gateways() / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + zeroIfUnknown(e.report.util()) + zeroIfUnknown(e.report.queue()) / e.cores;
     }
@@ -563,11 +569,12 @@
     }
     Attempt a = q.attempts.get(note.attempt());
     a.engine.lastSign = now;
+    a.lastNote = now;
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
-      if (badPlan(now, a)) {
+      if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
         abandon(now, a);
       }
     }
@@ -585,22 +592,29 @@
         && now + (long) (usual * SECOND) < a.query.deadline;
   }
 
-  /** Cancels an attempt so that the query can go elsewhere, where that is allowed and of use. */
+  /** Cancels an attempt that is worth leaving, so that the query can go elsewhere or be answered. */
   private void abandon(long now, Attempt a) {
     QueryRecord q = a.query;
     if (a.ended || a.abandoned || q.over || q.streaming || !settings.limits().cancel()
-        || !furtherAllowed(now, q) || q.kind.effect() == Effect.UNSAFE) {
+        || q.kind.effect() == Effect.UNSAFE) {
       return;
     }
+    a.abandoned = true;
+    actions.cancel(q.query.id(), a.number);
+  }
+
+  /** True where another engine can take the query now, within the rules. */
+  private boolean canMove(long now, Attempt a) {
+    QueryRecord q = a.query;
+    if (!furtherAllowed(now, q)) {
+      return false;
+    }
     for (Engine e : engines.values()) {
-      boolean keepsWindow = q.kind.effect() == Effect.SAFE
-          || repeatAllowed(now, withRun(q, a), e);
-      if (e != a.engine && open(now, q, e) && hasRoom(now, q, e) && keepsWindow) {
-        a.abandoned = true;
-        actions.cancel(q.query.id(), a.number);
-        return;
+      if (e != a.engine && open(now, q, e) && hasRoom(now, q, e)) {
+        return true;
       }
     }
+    return false;
   }
 
   private QueryRecord withRun(QueryRecord q, Attempt a) {
@@ -648,12 +662,7 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
-    e.out.remove(a);
-    e.threads -= a.threads;
-    e.memory -= a.memory;
-    if (q.kind.load()) {
-      e.loads.merge(q.query.group(), -1, (x, y) -> x + y == 0 ? null : x + y);
-    }
+    detach(a);
     if (end.outcome().mayHaveRun) {
       withRun(q, a);
     }
@@ -668,16 +677,25 @@
     }
   }
 
+  /** Takes an attempt out of its engine's books, once. */
+  private void detach(Attempt a) {
+    Engine e = a.engine;
+    if (e.out.remove(a)) {
+      e.threads -= a.threads;
+      e.memory -= a.memory;
+      if (a.query.kind.load()) {
+        e.loads.merge(a.query.query.group(), -1, (x, y) -> x + y == 0 ? null : x + y);
+      }
+    }
+  }
+
   /** Health by symptom: errors, resets and failed connects are trouble, an answer ends it. */
   private void judge(long now, Attempt a, AttemptEnd end) {
     Engine e = a.engine;
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
-      e.errors += ERROR_WEIGHT * (1 - e.errors);
-      if (e.errors > ERRORS_BAD) {
-        rest(now, e);
-      }
+      noteError(now, e);
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
       e.lastSign = now;
@@ -690,6 +708,13 @@
     }
   }
 
+  private void noteError(long now, Engine e) {
+    e.errors += ERROR_WEIGHT * (1 - e.errors);
+    if (e.errors > ERRORS_BAD) {
+      rest(now, e);
+    }
+  }
+
   private void rest(long now, Engine e) {
     if (now >= e.restUntil) {
       e.restUntil = now + (REST << Math.min(e.troubles, REST_DOUBLINGS));
@@ -835,13 +860,26 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
+  /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
+  private void lose(long now, Attempt a, boolean silent) {
+    detach(a);
+    noteError(now, a.engine);
+    if (silent) {
+      rest(now, a.engine);
+    }
+    abandon(now, a);
+  }
+
   /** Finds silent engines, and probes those that report on being asked. */
   private void watchOver(long now, Engine e) {
-    long quiet = (long) (SILENT_NOTES * settings.traits().notePeriod());
-    if (quiet > 0 && !e.out.isEmpty() && now - e.lastSign > quiet) {
-      rest(now, e);
-      for (Attempt a : new ArrayList<>(e.out)) {
-        abandon(now, a);
+    double period = settings.traits().notePeriod();
+    boolean silent = now - e.lastSign > SILENT_NOTES * period;
+    boolean talks = now - e.lastSign < period;
+    for (Attempt a : period > 0 ? new ArrayList<>(e.out) : List.<Attempt>of()) {
+      long quiet = now - Math.max(a.sentAt, a.lastNote);
+      // An engine may lose single queries while it answers the rest: each attempt is judged by its own notes.
+      if (quiet > (talks ? LOST_NOTES : SILENT_NOTES) * period) {
+        lose(now, a, silent);
       }
     }
     if (settings.limits().probes() && settings.traits().reports() && !e.probing
--- a/src/main/java/reachloom/state/Attempt.java
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -11,6 +11,7 @@
   /** Predicted time, in seconds, before the engine's ratio. */
   public double predicted;
   public double share;
+  public long lastNote;
   public boolean ended;
   public boolean abandoned;
 
