--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -378,7 +378,7 @@
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    return fits && (now >= e.pressedUntil || e.threads + q.kind.threads() <= e.bound);
+    return fits && (now >= e.pressedUntil || e.threads + 1 <= e.bound);
   }
 
   // ---- The choice of engine ----
