Give the classes that earn most for their work half as much room again

Cause: wide classes filled the bound and the quick class was refused after its short holding time. May harm where a dense class is also most of the work: the bound then holds half as much too much.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -37,6 +37,8 @@
   private static final double SLOW = 0.6; // share of its aim that a query takes: slow from here on
   private static final double CALM = 0.4; // ... and calm up to here
   private static final double BUSY = 0.9; // share of cores, memory or disks in use that a report calls busy
+  private static final double DENSE = 1.5; // worth for work, against the usual, that goes ahead of others
+  private static final double DENSE_ROOM = 1.5; // bound of such classes: little work, so little harm
   private static final long PRESSURE_HOLD = 2_000 * MILLISECOND; // the bound binds on after a sign
   private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
@@ -378,7 +380,7 @@
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    return fits && (now >= e.pressedUntil || e.threads + 1 <= e.bound);
+    return fits && (now >= e.pressedUntil || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
   // ---- The choice of engine ----
@@ -541,6 +543,11 @@
 
   /** The classes that earn most for their work go ahead. */
   private int priority(QueryRecord q) {
+    return dense(q) ? 3 : 1;
+  }
+
+  /** True for the classes that earn clearly more for their work than the usual query. */
+  private boolean dense(QueryRecord q) {
     double worth = 0;
     double cost = 0;
     for (ClassRecord c : classes) {
@@ -548,7 +555,7 @@
       cost += c.meanCost / classes.size();
     }
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.meanCost > 0 && c.kind.worth() / c.meanCost > 1.5 * worth / Math.max(cost, 1e-9) ? 3 : 1;
+    return c.meanCost > 0 && c.kind.worth() / c.meanCost > DENSE * worth / Math.max(cost, 1e-9);
   }
 
   // ---- While an attempt is out ----
