--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -3,7 +3,6 @@
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,7 +16,7 @@
 import reachloom.state.KeyLine;
 import reachloom.state.QueryRecord;
 import reachloom.state.SlidingSum;
-import reachloom.state.TenantRecord;
+import reachloom.state.TokenBucket;
 
 /**
  * Decides for one gateway: admits a query at arrival on a prediction, holds it for a short while, releases
@@ -49,7 +48,7 @@
   private static final double RATIO_LEAST = 0.25; // one odd answer must not make an engine look free
   private static final double RATIO_MOST = 20; // ... nor close it for good
   private static final double LEARN_WEIGHT = 0.02; // of a class's newest query, after the first few
-  private static final double UNKNOWN_COST = 0.25; // share of the deadline; a high guess keeps cold engines safe
+  private static final double UNKNOWN_COST = 0.25; // share of the deadline; high, for cold engines' sake
   private static final double GRANT_MARGIN = 1.15; // grant over the need expected: a spill costs more
 
   // Holding.
@@ -92,7 +91,7 @@
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
   private final Map<String, KeyLine> keyLines = new LinkedHashMap<>();
   private final List<ClassRecord> classes = new ArrayList<>();
-  private final List<TenantRecord> tenants = new ArrayList<>();
+  private final List<TokenBucket> tenants = new ArrayList<>();
   private final Set<Integer> boundKinds = new LinkedHashSet<>();
   private SlidingSum takenInSpan;
   private SlidingSum extrasInSpan;
@@ -110,7 +109,7 @@
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
-    s.tenants().forEach(t -> tenants.add(new TenantRecord(t.quotaPerSecond() / s.gateways())));
+    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_BURST)));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
     crossing = s.crossPrice() * CROSS_WEIGHT;
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
@@ -167,11 +166,7 @@
   }
 
   private int widest() {
-    int widest = 1;
-    for (ClassRecord c : classes) {
-      widest = Math.max(widest, c.kind.threads());
-    }
-    return widest;
+    return classes.stream().mapToInt(c -> c.kind.threads()).max().orElse(1);
   }
 
   @Override
@@ -190,7 +185,7 @@
     QueryRecord q = new QueryRecord(query, kind, taken++, now, now + time);
     queries.put(query.id(), q);
     takenInSpan.add(now, 1);
-    q.beyondShare = beyondShare(now, query.tenant());
+    q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
       q.keyLine = keyLines.computeIfAbsent(query.key(), KeyLine::new);
@@ -210,22 +205,6 @@
     keepTicking(now);
   }
 
-  /** True where the tenant has used up its share for now; under pressure such queries give way first. */
-  private boolean beyondShare(long now, int tenant) {
-    if (tenant >= tenants.size() || tenants.get(tenant).perSecond <= 0) {
-      return false;
-    }
-    TenantRecord t = tenants.get(tenant);
-    double most = Math.max(1, t.perSecond * TENANT_BURST);
-    t.left = t.filledAt == 0 ? most : Math.min(most, t.left + t.perSecond * seconds(now - t.filledAt));
-    t.filledAt = now;
-    if (t.left < 1) {
-      return true;
-    }
-    t.left--;
-    return false;
-  }
-
   /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
   private double predictedWait(long now, QueryRecord q) {
     double work = 0;
@@ -245,20 +224,12 @@
     double wait = 0;
     if (q.keyLine != null) {
       for (QueryRecord earlier : q.keyLine.queries) {
-        wait += earlier == q ? 0 : estimate(earlier, ratio) * (1 - done(earlier));
+        wait += earlier == q ? 0 : estimate(earlier, ratio) * (1 - earlier.done());
       }
     }
     return wait;
   }
 
-  private double done(QueryRecord q) {
-    double done = 0;
-    for (Attempt a : q.attempts) {
-      done = a.ended ? done : Math.max(done, a.share);
-    }
-    return done;
-  }
-
   // ---- The estimate ----
 
   /** Seconds that the query takes on an engine of that ratio. */
@@ -269,9 +240,12 @@
 
   /** Seconds of work of all its threads, as far as it is known. */
   private double cost(QueryRecord q) {
+    return q.query.cost() > 0 ? seconds(q.query.cost()) : usualCost(q);
+  }
+
+  private double usualCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    double usual = c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
-    return q.query.cost() > 0 ? seconds(q.query.cost()) : usual;
+    return c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
   }
 
   private double memory(QueryRecord q) {
@@ -280,15 +254,8 @@
   }
 
   private double meanRatio() {
-    double sum = 0;
-    int count = 0;
-    for (Engine e : engines.values()) {
-      if (e.state == EngineState.UP) {
-        sum += e.ratio;
-        count++;
-      }
-    }
-    return count > 0 ? sum / count : 1;
+    return engines.values().stream().filter(e -> e.state == EngineState.UP).mapToDouble(e -> e.ratio)
+        .average().orElse(1);
   }
 
   private void learnCost(QueryRecord q) {
@@ -343,10 +310,7 @@
 
   /** Averages what share of its aim a query took; long queries tell more than short ones. */
   private void noteStrain(Engine e, double strain, double work) {
-    double usual = 0;
-    for (ClassRecord c : classes) {
-      usual += c.meanCost / classes.size();
-    }
+    double usual = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
     e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
   }
 
@@ -387,7 +351,7 @@
 
   /** Whether the rules and the engine's health leave it open to the query. */
   private boolean open(long now, QueryRecord q, Engine e) {
-    return permitted(now, q, e) && healthy(now, e);
+    return permitted(now, q, e) && now >= e.restUntil;
   }
 
   private boolean permitted(long now, QueryRecord q, Engine e) {
@@ -407,14 +371,7 @@
 
   /** The rule weighs a query by the usual work of its class; its own estimate counts where it is higher. */
   private double coldCost(QueryRecord q) {
-    ClassRecord c = classes.get(q.query.queryClass());
-    double usual = c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
-    return Math.max(usual, cost(q));
-  }
-
-  /** An engine in trouble rests, then gets one query at a time until one is served. */
-  private boolean healthy(long now, Engine e) {
-    return now >= e.restUntil;
+    return Math.max(usualCost(q), cost(q));
   }
 
   /** Whether a further attempt there keeps the rule on effects; a first one always does. */
@@ -438,7 +395,7 @@
     for (Engine e : engines.values()) {
       if (open(now, q, e) && hasRoom(now, q, e)) {
         able.add(e);
-        if (!triedOn(q, e)) {
+        if (!q.triedOn(e)) {
           fresh.add(e);
         }
       }
@@ -454,17 +411,9 @@
     return load(now, q, a) <= load(now, q, b) ? a : b;
   }
 
-  private boolean triedOn(QueryRecord q, Engine e) {
-    for (Attempt a : q.attempts) {
-      if (a.engine == e) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private double load(long now, QueryRecord q, Engine e) {
-    double load = (1 + ERROR_LOAD * e.errors) * (1 + (e.threads + q.kind.threads()) * settings.gateways() / e.cores) * e.ratio;
+    double threads = (e.threads + q.kind.threads()) * settings.gateways();
+    double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + zeroIfUnknown(e.report.util()) + zeroIfUnknown(e.report.queue()) / e.cores;
     }
@@ -487,7 +436,8 @@
     if (!q.kind.load() && !q.kind.waitsForLoads()) {
       return false;
     }
-    return e.loads.getOrDefault(q.query.group(), 0) > 0 || e.heldGroups.getOrDefault(q.query.group(), 0L) > now;
+    int group = q.query.group();
+    return e.loads.getOrDefault(group, 0) > 0 || e.heldGroups.getOrDefault(group, 0L) > now;
   }
 
   // ---- Sending ----
@@ -505,26 +455,15 @@
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
-    e.out.add(a);
-    e.threads += a.threads;
-    e.memory += a.memory;
-    if (q.kind.load()) {
-      e.loads.merge(q.query.group(), 1, Integer::sum);
-    }
-    e.warm.remove(q.query.group());
-    e.warm.add(q.query.group());
-    if (e.warm.size() > WARM_GROUPS) {
-      Iterator<Integer> oldest = e.warm.iterator();
-      oldest.next();
-      oldest.remove();
-    }
+    e.add(a);
+    e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
     }
     if (e.out.size() == 1) {
       e.lastSign = now;
     }
-    if (e.troubles > 0) {
+    if (e.troubles > 0) { // one query at a time until one is served
       e.restUntil = now + REST;
     }
   }
@@ -532,28 +471,18 @@
   /** Grant and priority, where the engines heed them. */
   private void setTerms(QueryRecord q) {
     Traits traits = settings.traits();
-    int priority = priority(q);
+    int priority = dense(q) ? 3 : 1;
     ClassRecord c = classes.get(q.query.queryClass());
     double grant = traits.grants() && c.memories > 0 ? memory(q) * GRANT_MARGIN : 0;
     if (traits.priorities() && priority != 1 || grant > 0) {
       actions.terms(q.query.id(), grant, priority);
     }
-    q.priority = priority;
-  }
-
-  /** The classes that earn most for their work go ahead. */
-  private int priority(QueryRecord q) {
-    return dense(q) ? 3 : 1;
   }
 
   /** True for the classes that earn clearly more for their work than the usual query. */
   private boolean dense(QueryRecord q) {
-    double worth = 0;
-    double cost = 0;
-    for (ClassRecord c : classes) {
-      worth += c.kind.worth() / classes.size();
-      cost += c.meanCost / classes.size();
-    }
+    double worth = classes.stream().mapToDouble(c -> c.kind.worth()).average().orElse(0);
+    double cost = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
     ClassRecord c = classes.get(q.query.queryClass());
     return c.meanCost > 0 && c.kind.worth() / c.meanCost > DENSE * worth / Math.max(cost, 1e-9);
   }
@@ -613,23 +542,8 @@
   /** True where another engine can take the query now, within the rules. */
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
-    if (!furtherAllowed(now, q)) {
-      return false;
-    }
-    for (Engine e : engines.values()) {
-      if (e != a.engine && open(now, q, e) && hasRoom(now, q, e)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private QueryRecord withRun(QueryRecord q, Attempt a) {
-    if (q.firstRunAt < 0) {
-      q.firstRunAt = a.sentAt;
-      q.firstRunOn = a.engine;
-    }
-    return q;
+    return furtherAllowed(now, q) && engines.values().stream()
+        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e));
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
@@ -669,9 +583,9 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
-    detach(a);
+    a.engine.remove(a);
     if (end.outcome().mayHaveRun) {
-      withRun(q, a);
+      q.mayHaveRun(a);
     }
     boolean mayRunOn = end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.CANCELLED;
@@ -684,18 +598,6 @@
     }
   }
 
-  /** Takes an attempt out of its engine's books, once. */
-  private void detach(Attempt a) {
-    Engine e = a.engine;
-    if (e.out.remove(a)) {
-      e.threads -= a.threads;
-      e.memory -= a.memory;
-      if (a.query.kind.load()) {
-        e.loads.merge(a.query.query.group(), -1, (x, y) -> x + y == 0 ? null : x + y);
-      }
-    }
-  }
-
   /** Health by symptom: errors, resets and failed connects are trouble, an answer ends it. */
   private void judge(long now, Attempt a, AttemptEnd end) {
     Engine e = a.engine;
@@ -746,12 +648,7 @@
   }
 
   private boolean repeatPossible(long now, QueryRecord q) {
-    for (Engine e : engines.values()) {
-      if (e.state == EngineState.UP && repeatAllowed(now, q, e)) {
-        return true;
-      }
-    }
-    return false;
+    return engines.values().stream().anyMatch(e -> e.state == EngineState.UP && repeatAllowed(now, q, e));
   }
 
   // ---- The held line ----
@@ -869,7 +766,7 @@
 
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
-    detach(a);
+    a.engine.remove(a);
     noteError(now, a.engine);
     if (silent) {
       rest(now, a.engine);
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -42,7 +42,8 @@
   private static final Map<String, EngineState> STATES = Map.of("up", EngineState.UP,
       "draining", EngineState.DRAINING, "removed", EngineState.GONE);
 
-  private final ObjectMapper mapper = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private final ObjectMapper mapper =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
   private final Map<Integer, List<EngineInfo>> sheets = new HashMap<>();
   private final Map<String, Instance> instances = new HashMap<>();
   private final Set<String> unknownEvents = new HashSet<>();
@@ -96,7 +97,8 @@
           "the line after batch " + last + " is not one JSON value: " + e.getOriginalMessage());
     }
     if (!batch.isObject() || !batch.path("batch").isIntegralNumber()) {
-      throw new MalformedBatchException("the line after batch " + last + " is no batch with a whole number in 'batch'");
+      throw new MalformedBatchException(
+          "the line after batch " + last + " is no object with a whole number in 'batch'");
     }
     String name = "batch " + batch.path("batch").asLong() + ": ";
     if (!batch.path("moment").isIntegralNumber()) {
@@ -196,7 +198,7 @@
     }
     List<EngineInfo> entries = sheets.get(item.path("sheet").asInt());
     if (entries == null) {
-      throw new MalformedBatchException("BackendsChanged names list " + item.path("sheet") + ", never defined");
+      throw new MalformedBatchException("list " + item.path("sheet") + " was never defined");
     }
     events.engines(now, !how.equals("update"), entries);
   }
@@ -206,9 +208,9 @@
     for (JsonNode host : list.path("hosts")) {
       // A state not known here reads as draining: nothing new is sent.
       read.add(new EngineInfo(text(host, "node", "a list entry"),
-          STATES.getOrDefault(host.path("state").asText("up"), EngineState.DRAINING), host.path("type").asInt(),
-          host.path("rackZone").asInt(), host.path("bay").asInt(), host.path("rating").asDouble(1),
-          host.path("since").asLong()));
+          STATES.getOrDefault(host.path("state").asText("up"), EngineState.DRAINING),
+          host.path("type").asInt(), host.path("rackZone").asInt(), host.path("bay").asInt(),
+          host.path("rating").asDouble(1), host.path("since").asLong()));
     }
     return read;
   }
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -50,4 +50,34 @@
   public Engine(String name) {
     this.name = name;
   }
+
+  /** Books an attempt that is out here. */
+  public void add(Attempt a) {
+    out.add(a);
+    threads += a.threads;
+    memory += a.memory;
+    if (a.query.kind.load()) {
+      loads.merge(a.query.query.group(), 1, Integer::sum);
+    }
+  }
+
+  /** Takes an attempt out of the books, once. */
+  public void remove(Attempt a) {
+    if (out.remove(a)) {
+      threads -= a.threads;
+      memory -= a.memory;
+      if (a.query.kind.load()) {
+        loads.merge(a.query.query.group(), -1, (x, y) -> x + y == 0 ? null : x + y);
+      }
+    }
+  }
+
+  /** Notes that a table group was read, and forgets the oldest beyond the limit. */
+  public void touch(int group, int limit) {
+    warm.remove(group);
+    warm.add(group);
+    if (warm.size() > limit) {
+      warm.remove(warm.iterator().next());
+    }
+  }
 }
--- a/src/main/java/reachloom/state/QueryRecord.java
+++ b/src/main/java/reachloom/state/QueryRecord.java
@@ -22,7 +22,6 @@
   public long firstRunAt = -1;
   public Engine firstRunOn;
   public KeyLine keyLine;
-  public int priority = -1;
 
   /** A query just taken. */
   public QueryRecord(Query query, QueryClass kind, long number, long arrivedAt, long deadline) {
@@ -32,4 +31,22 @@
     this.arrivedAt = arrivedAt;
     this.deadline = deadline;
   }
+
+  /** Notes an attempt that may have run; the first one counts. */
+  public void mayHaveRun(Attempt a) {
+    if (firstRunAt < 0) {
+      firstRunAt = a.sentAt;
+      firstRunOn = a.engine;
+    }
+  }
+
+  /** Whether an attempt went to that engine. */
+  public boolean triedOn(Engine engine) {
+    return attempts.stream().anyMatch(a -> a.engine == engine);
+  }
+
+  /** The largest share done of the attempts that are out. */
+  public double done() {
+    return attempts.stream().filter(a -> !a.ended).mapToDouble(a -> a.share).max().orElse(0);
+  }
 }
--- /dev/null
+++ b/src/test/java/reachloom/Bench.java
@@ -0,0 +1,181 @@
+package reachloom;
+
+import java.util.ArrayList;
+import java.util.List;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Kind;
+import reachloom.Decisions.Limits;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Overbooked;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.QueryClass;
+import reachloom.Decisions.Report;
+import reachloom.Decisions.Rules;
+import reachloom.Decisions.Scope;
+import reachloom.Decisions.Settings;
+import reachloom.Decisions.Tenant;
+import reachloom.Decisions.Traits;
+
+/** One gateway on a scripted clock: events go in by short calls, actions are kept as lines of text. */
+final class Bench implements Actions {
+  static final long MS = 1_000_000;
+  static final long SECOND = 1000 * MS;
+  static final int QUICK = 0;
+  static final int LONG = 1;
+  static final int KEYED = 2;
+
+  final List<String> actions = new ArrayList<>();
+  final Choice choice = new Choice(this);
+  long now = 1000 * SECOND;
+  int gateways = 1;
+  Effect longEffect = Effect.SAFE;
+  Scope scope = Scope.ALL;
+  List<Integer> longKinds = List.of();
+  boolean ordered;
+  long orderSettle;
+  long keyWindow = 15 * SECOND;
+  long lookBack;
+  double extraFree = 1;
+  double extraShare;
+  boolean reports;
+  boolean grants;
+  long notePeriod;
+  Overbooked overbooked = Overbooked.WAIT;
+  List<Tenant> tenants = List.of();
+  double memoryMb;
+  private long ticksDue;
+
+  Bench start(EngineInfo... engines) {
+    List<QueryClass> classes = List.of(
+        new QueryClass(SECOND, 1, 5 * SECOND, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, false, List.of(),
+            List.of(), 1, false, false),
+        new QueryClass(3 * SECOND, 2, 20 * SECOND, 8, 0.3, longEffect, scope, keyWindow, false, false,
+            longKinds, List.of(), 2, false, false),
+        new QueryClass(3 * SECOND, 2, 20 * SECOND, 12, 0.5, Effect.KEYED, scope, keyWindow, ordered, false,
+            List.of(), List.of(), 2, true, false));
+    choice.start(now, 7, new Settings(gateways, 0, 0, false, 5 * MS, 0.1, 0, 0, 0.1, classes,
+        List.of(new Kind(8, memoryMb), new Kind(8, memoryMb)), tenants,
+        new Limits(5, true, reports, false, true, 2 * SECOND),
+        new Rules(20 * MS, 0.3, 10 * SECOND, 2.5, SECOND, orderSettle, lookBack, extraFree, extraShare),
+        new Traits(grants, true, reports, notePeriod, 0.5, overbooked)));
+    list(engines);
+    return this;
+  }
+
+  static EngineInfo up(String name) {
+    return engine(name, EngineState.UP, 0, 0);
+  }
+
+  static EngineInfo engine(String name, EngineState state, int kind, long since) {
+    return new EngineInfo(name, state, kind, 0, name.charAt(0), 1, since);
+  }
+
+  void list(EngineInfo... engines) {
+    choice.engines(now, true, List.of(engines));
+  }
+
+  void arrive(String id, int queryClass, double costSeconds) {
+    arrive(id, queryClass, costSeconds, 0, null);
+  }
+
+  void arrive(String id, int queryClass, double costSeconds, int tenant, String key) {
+    long time = queryClass == QUICK ? 5 * SECOND : 20 * SECOND;
+    long cost = (long) (costSeconds * SECOND);
+    choice.arrive(now, new Query(id, queryClass, tenant, key, time, cost, 100, 3, false));
+  }
+
+  void end(String id, int attempt, String engine, Outcome outcome, double seconds, boolean over) {
+    long spent = (long) (seconds * SECOND);
+    choice.end(now, new AttemptEnd(id, attempt, engine, outcome, spent, over, 0, 0, null));
+  }
+
+  void served(String id, String engine, double seconds) {
+    end(id, 0, engine, Outcome.SERVED, seconds, true);
+  }
+
+  void note(String id, String engine, double share) {
+    choice.note(now, new Note(id, 0, engine, NoteKind.PROGRESS, share));
+  }
+
+  void report(String engine, double util) {
+    choice.probed(now, engine, true, new Report(util, 0, Double.NaN, Double.NaN));
+  }
+
+  /** Lets time pass; the module's timers come due. */
+  void pass(long time) {
+    long end = now + time;
+    while (ticksDue > 0 && now + 25 * MS <= end) {
+      now += 25 * MS;
+      ticksDue--;
+      choice.wake(now, 0);
+    }
+    now = end;
+  }
+
+  /** Time passes, but the gateway stands still meanwhile. */
+  void stall(long time) {
+    now += time;
+    ticksDue--;
+    choice.wake(now, 0);
+  }
+
+  List<String> take() {
+    List<String> taken = List.copyOf(actions);
+    actions.clear();
+    return taken;
+  }
+
+  @Override
+  public void send(String query, String engine, long timeout) {
+    actions.add("send " + query + " " + engine);
+  }
+
+  @Override
+  public void terms(String query, double grantMb, int priority) {
+    // Terms are looked at by the tests that ask for them.
+    if (grants) {
+      actions.add("terms " + query + " " + Math.round(grantMb) + " " + priority);
+    }
+  }
+
+  @Override
+  public void cancel(String query, int attempt) {
+    actions.add("cancel " + query + " " + attempt);
+  }
+
+  @Override
+  public void refuse(String query, long retryAfter) {
+    actions.add("refuse " + query + " " + retryAfter / SECOND + (retryAfter % SECOND == 0 ? "s" : "?"));
+  }
+
+  @Override
+  public void fail(String query) {
+    actions.add("fail " + query);
+  }
+
+  @Override
+  public void timer(long delay, long token) {
+    ticksDue++;
+  }
+
+  @Override
+  public void probe(String engine) {
+    actions.add("probe " + engine);
+  }
+
+  @Override
+  public void watch() {
+    actions.add("watch");
+  }
+
+  @Override
+  public void log(String line) {
+    // The log decides nothing.
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/ChoiceTest.java
@@ -0,0 +1,390 @@
+package reachloom;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reachloom.Bench.KEYED;
+import static reachloom.Bench.LONG;
+import static reachloom.Bench.MS;
+import static reachloom.Bench.QUICK;
+import static reachloom.Bench.SECOND;
+import static reachloom.Bench.engine;
+import static reachloom.Bench.up;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Scope;
+import reachloom.Decisions.Tenant;
+
+/** The decisions, by scripted events and asserted actions; no bench is needed. */
+class ChoiceTest {
+
+  private static long count(List<String> actions, String start) {
+    return actions.stream().filter(a -> a.startsWith(start)).count();
+  }
+
+  /** Presses an engine by a busy report until its bound has sunk to the floor. */
+  private static void press(Bench b, String... engines) {
+    for (int i = 0; i < 60; i++) {
+      for (String e : engines) {
+        b.report(e, 1);
+      }
+      b.pass(100 * MS);
+    }
+    b.actions.removeIf(a -> a.startsWith("probe"));
+  }
+
+  @Test
+  void sendsAtOnceWhatFits() {
+    Bench b = new Bench().start(up("a"));
+    b.arrive("q", QUICK, 0.1);
+    assertEquals(List.of("send q a"), b.take());
+  }
+
+  @Test
+  void refusesAtArrivalWhatCannotFinishInTime() {
+    Bench b = new Bench().start(up("a"));
+    for (int i = 0; i < 20; i++) { // a class's factor starts at its aim over its usual cost
+      b.arrive("usual" + i, LONG, 1);
+    }
+    b.take();
+    b.arrive("huge", LONG, 100);
+    assertEquals(List.of("refuse huge 1s"), b.take());
+  }
+
+  @Test
+  void bindsOnlyUnderPressure() {
+    Bench calm = new Bench().start(up("a"));
+    for (int i = 0; i < 100; i++) {
+      calm.arrive("q" + i, QUICK, 0.1);
+    }
+    assertEquals(100, count(calm.take(), "send"));
+
+    Bench busy = new Bench();
+    busy.reports = true;
+    busy.start(up("a"));
+    press(busy, "a");
+    for (int i = 0; i < 100; i++) {
+      busy.arrive("q" + i, LONG, 1);
+    }
+    long sent = count(busy.take(), "send");
+    assertTrue(sent > 0 && sent < 20, "sent " + sent);
+  }
+
+  @Test
+  void holdsShortlyThenRefuses() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.start(up("a"));
+    press(b, "a");
+    b.actions.clear();
+    while (count(b.actions, "send") == b.actions.size()) {
+      int before = b.actions.size();
+      b.arrive("q" + before, LONG, 1);
+      if (b.actions.size() == before) {
+        break; // held
+      }
+    }
+    b.take();
+    for (int i = 0; i < 25; i++) {
+      b.report("a", 1);
+      b.pass(100 * MS);
+    }
+    assertEquals(1, count(b.take(), "refuse"), "one held query, refused after a tenth of its time");
+  }
+
+  @Test
+  void releasesOldestFirst() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.start(up("a"));
+    press(b, "a");
+    int sent = 0;
+    while (true) {
+      b.arrive("q" + sent, LONG, 1);
+      if (count(b.actions, "send q" + sent + " ") == 0) {
+        break;
+      }
+      sent++;
+    }
+    b.arrive("next", LONG, 1);
+    b.take();
+    for (int i = 0; i < sent; i++) {
+      b.served("q" + i, "a", 1);
+    }
+    List<String> released = b.take();
+    assertEquals("send q" + sent + " a", released.get(0));
+    assertTrue(released.indexOf("send next a") > 0, released.toString());
+  }
+
+  @Test
+  void sendsNothingToDrainingOrMissingEngines() {
+    Bench b = new Bench().start(up("a"), up("b"));
+    b.list(engine("a", EngineState.DRAINING, 0, 0), up("b"));
+    for (int i = 0; i < 20; i++) {
+      b.arrive("d" + i, QUICK, 0.1);
+    }
+    assertEquals(20, count(b.take(), "send d") - b.actions.size());
+    b.list(up("a"));
+    b.arrive("q", QUICK, 0.1);
+    assertEquals(List.of("send q a"), b.take());
+  }
+
+  @Test
+  void keepsThePlacementWithAllAllowedEnginesGone() {
+    Bench b = new Bench();
+    b.longKinds = List.of(1);
+    b.start(up("a"), engine("b", EngineState.UP, 1, 0));
+    b.arrive("q", LONG, 1);
+    assertEquals(List.of("send q b"), b.take());
+    b.list(up("a"));
+    b.arrive("r", LONG, 1);
+    b.pass(3 * SECOND);
+    assertEquals(List.of("refuse r 1s"), b.take());
+  }
+
+  @Test
+  void keepsTheOrderOfAKey() {
+    Bench b = new Bench();
+    b.ordered = true;
+    b.orderSettle = 500 * MS;
+    b.start(up("a"), up("b"));
+    b.arrive("first", KEYED, 0.1, 0, "k");
+    b.arrive("second", KEYED, 0.1, 0, "k");
+    b.arrive("other", KEYED, 0.1, 0, "x");
+    List<String> sent = b.take();
+    assertEquals(1, count(sent, "send first"));
+    assertEquals(0, count(sent, "send second"));
+    assertEquals(1, count(sent, "send other"), "one blocked key holds up nobody else");
+    String on = sent.get(0).substring("send first ".length());
+    b.end("first", 0, on, Outcome.TIMEOUT, 1, true);
+    b.pass(400 * MS);
+    assertEquals(0, count(b.take(), "send second"), "the key rests after a time-out");
+    b.pass(200 * MS);
+    assertEquals(1, count(b.take(), "send second"));
+  }
+
+  @Test
+  void repeatsAKeyedQueryOnlyWithinItsWindow() {
+    Bench b = new Bench();
+    b.start(up("a"), up("b"));
+    b.arrive("early", KEYED, 0.1);
+    b.arrive("late", KEYED, 0.1);
+    List<String> sent = b.take();
+    b.end("early", 0, sent.get(0).substring(11), Outcome.ERROR, 0, false);
+    assertEquals(1, count(b.take(), "send early"));
+    b.pass(15 * SECOND);
+    b.take();
+    b.end("late", 0, sent.get(1).substring(10), Outcome.ERROR, 15, false);
+    assertEquals(List.of("refuse late 1s"), b.take());
+  }
+
+  @Test
+  void neverRepeatsOrRefusesWhatMayHaveRunOnce() {
+    Bench b = new Bench();
+    b.longEffect = Effect.UNSAFE;
+    b.start(up("a"), up("b"));
+    b.arrive("q", LONG, 1);
+    b.take();
+    b.end("q", 0, "a", Outcome.RESET, 0.1, false);
+    assertEquals(List.of("fail q"), b.take());
+    b.arrive("r", LONG, 1);
+    b.take();
+    b.end("r", 0, "a", Outcome.UNREACHED, 0.1, false);
+    assertEquals(1, count(b.take(), "send r"), "an attempt that never ran leaves all open");
+  }
+
+  @Test
+  void failsRatherThanRefusesWhereOnlyACellDropsRepeats() {
+    Bench b = new Bench();
+    b.scope = Scope.CELL;
+    b.start(up("a"), up("b"));
+    b.arrive("q", KEYED, 1);
+    String on = b.take().get(0).substring("send q ".length());
+    b.list(up(on.equals("a") ? "b" : "a"));
+    b.end("q", 0, on, Outcome.RESET, 0.1, false);
+    assertEquals(List.of("fail q"), b.take());
+  }
+
+  @Test
+  void answersAfterTheTimeOutAtTheDeadline() {
+    Bench b = new Bench().start(up("a"));
+    b.arrive("q", QUICK, 0.1);
+    b.take();
+    b.pass(5 * SECOND);
+    b.end("q", 0, "a", Outcome.TIMEOUT, 5, false);
+    assertEquals(1, b.take().size());
+    b.end("q", 0, "a", Outcome.TIMEOUT, 5, false);
+    assertEquals(List.of(), b.take(), "one final answer only");
+  }
+
+  @Test
+  void rationsFurtherAttempts() {
+    Bench b = new Bench();
+    b.lookBack = 10 * SECOND;
+    b.extraFree = 1;
+    b.start(up("a"), up("b"));
+    b.arrive("q", QUICK, 0.1);
+    b.arrive("r", QUICK, 0.1);
+    b.take();
+    b.end("q", 0, "a", Outcome.FULL, 0, false);
+    assertEquals(1, count(b.take(), "send q"));
+    b.end("r", 0, "a", Outcome.FULL, 0, false);
+    assertEquals(List.of("refuse r 1s"), b.take(), "the budget of one is spent");
+  }
+
+  @Test
+  void keepsTheBudgetOfAColdEngine() {
+    Bench b = new Bench();
+    b.start();
+    b.list(engine("a", EngineState.UP, 0, b.now - SECOND));
+    for (int i = 0; i < 200; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    // At most 2.5 x 0.3 of eight cores for one second may be sent: 6 seconds of work.
+    long sent = count(b.take(), "send");
+    assertTrue(sent > 0 && sent * 0.1 < 6, "sent " + sent);
+    b.pass(10 * SECOND);
+    b.take();
+    for (int i = 200; i < 400; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    assertEquals(200, count(b.take(), "send"), "warm by now");
+  }
+
+  @Test
+  void quickErrorsDoNotDrawQueries() {
+    Bench b = new Bench().start(up("a"), up("b"), up("c"));
+    for (int i = 0; i < 40; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+      String on = b.take().get(0).substring(("send q" + i + " ").length());
+      b.end("q" + i, 0, on, on.equals("a") ? Outcome.ERROR : Outcome.SERVED, 0.1, true);
+    }
+    for (int i = 0; i < 30; i++) {
+      b.arrive("r" + i, QUICK, 0.1);
+    }
+    long drawn = b.take().stream().filter(a -> a.endsWith(" a")).count();
+    assertTrue(drawn < 8, drawn + " of 30 to the engine of quick errors");
+  }
+
+  @Test
+  void movesAnAttemptThatItsEngineLost() {
+    Bench b = new Bench();
+    b.notePeriod = 500 * MS;
+    b.start(up("a"), up("b"));
+    b.arrive("lost", LONG, 1);
+    String on = b.take().get(0).substring("send lost ".length());
+    b.pass(100 * MS);
+    // Another query on the same engine goes on telling notes.
+    int other = 0;
+    do {
+      b.arrive("o" + other++, LONG, 1);
+    } while (!b.actions.get(b.actions.size() - 1).endsWith(" " + on));
+    b.take();
+    for (int i = 0; i < 3; i++) {
+      b.pass(350 * MS);
+      b.note("o" + (other - 1), on, 0.1);
+    }
+    b.pass(50 * MS);
+    assertEquals(1, count(b.actions, "cancel lost 0"), b.actions.toString());
+    assertEquals(0, count(b.take(), "cancel o" + (other - 1)));
+    b.end("lost", 0, on, Outcome.CANCELLED, 1, false);
+    assertEquals(List.of("send lost " + (on.equals("a") ? "b" : "a")), b.take());
+  }
+
+  @Test
+  void restsASilentEngine() {
+    Bench b = new Bench();
+    b.notePeriod = 500 * MS;
+    b.start(up("a"), up("b"));
+    b.arrive("q", LONG, 1);
+    String silent = b.take().get(0).substring("send q ".length());
+    b.pass(2100 * MS);
+    assertEquals(List.of("cancel q 0"), b.take());
+    for (int i = 0; i < 20; i++) {
+      b.arrive("r" + i, QUICK, 0.1);
+    }
+    assertFalse(b.take().stream().anyMatch(a -> a.endsWith(" " + silent)));
+  }
+
+  @Test
+  void forgetsWhatARestartedProcessRan() {
+    Bench b = new Bench();
+    b.notePeriod = 500 * MS;
+    b.start(up("a"));
+    b.arrive("q", LONG, 1);
+    b.take();
+    b.list(engine("a", EngineState.UP, 0, b.now));
+    assertEquals(List.of("cancel q 0"), b.take());
+  }
+
+  @Test
+  void resendsABadPlanButNotOnASlowEngine() {
+    Bench b = new Bench();
+    b.notePeriod = 500 * MS;
+    b.start(up("a"), up("b"));
+    for (int i = 0; i < 30; i++) { // learn that the class takes its cost
+      b.arrive("l" + i, LONG, 1);
+      b.served("l" + i, b.take().get(0).substring(("send l" + i + " ").length()), 1);
+    }
+    b.arrive("bad", LONG, 1);
+    String on = b.take().get(0).substring("send bad ".length());
+    b.pass(SECOND);
+    b.note("bad", on, 0.3);
+    assertEquals(0, count(b.take(), "cancel"), "three times the usual is no bad plan");
+    b.pass(300 * MS);
+    b.note("bad", on, 0.1);
+    assertEquals(List.of("cancel bad 0"), b.take());
+  }
+
+  @Test
+  void aStallOfTheGatewayDoesNotRefuseTheBacklogTogether() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.start(up("a"));
+    press(b, "a");
+    int sent = 0;
+    do {
+      b.arrive("q" + sent++, LONG, 0.5);
+    } while (count(b.actions, "send q" + (sent - 1) + " ") == 1);
+    b.take();
+    b.report("a", 1);
+    b.stall(5 * SECOND);
+    assertEquals(0, count(b.take(), "refuse"));
+  }
+
+  @Test
+  void aTenantBeyondItsShareGivesWayUnderPressure() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.tenants = List.of(new Tenant(2), new Tenant(50));
+    b.start(up("a"));
+    press(b, "a");
+    b.actions.clear();
+    for (int i = 0; i < 40; i++) {
+      b.arrive("big" + i, LONG, 1, 0, null);
+    }
+    assertTrue(count(b.take(), "refuse big") > 20);
+    b.arrive("small", LONG, 1, 1, null);
+    assertEquals(0, count(b.take(), "refuse"), "a tenant within its share is held");
+  }
+
+  @Test
+  void sameEventsSameActions() {
+    List<String> first = script();
+    assertEquals(first, script());
+    assertTrue(first.size() > 50);
+  }
+
+  private static List<String> script() {
+    Bench b = new Bench().start(up("a"), up("b"), up("c"));
+    for (int i = 0; i < 60; i++) {
+      b.arrive("q" + i, i % 3, 0.2 + i % 5);
+      b.pass(30 * MS);
+    }
+    return b.take();
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/ShapeTest.java
@@ -0,0 +1,94 @@
+package reachloom;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The shape of the sources: sizes, where decisions may stand, and what may not be named. */
+class ShapeTest {
+  private static final Path MAIN = Path.of("src/main/java/reachloom");
+  private static final Path CHOICE = MAIN.resolve("Choice.java");
+  private static final int MOST_LINES = 760;
+  private static final int MOST_COLUMNS = 110;
+
+  @Test
+  void choiceStaysWithinItsLines() throws IOException {
+    long lines = Files.readAllLines(CHOICE).stream().filter(l -> !l.isBlank()).count();
+    assertTrue(lines <= MOST_LINES, "Choice has " + lines + " lines that are not blank");
+  }
+
+  @Test
+  void linesStayWithinTheirColumns() throws IOException {
+    assertEquals(List.of(), matches(Path.of("src"), Pattern.compile("^.{" + (MOST_COLUMNS + 1) + ",}$")));
+  }
+
+  @Test
+  void choicePointsToItsInterfaceFirst() throws IOException {
+    List<String> head = Files.readAllLines(CHOICE).subList(0, 5);
+    assertTrue(head.stream().anyMatch(l -> l.contains("src/main/java/reachloom/Decisions.java")));
+  }
+
+  @Test
+  void choiceHoldsNoStaticMutableState() throws IOException {
+    Pattern field = Pattern.compile("\\bstatic (?!final )[\\w.<>\\[\\], ]+ \\w+( =.*)?;");
+    assertEquals(List.of(), matches(CHOICE, field));
+    Pattern hazards =
+        Pattern.compile("currentTimeMillis|nanoTime|Math\\.random|new Random\\(|\\bHash(Map|Set)\\b");
+    assertEquals(List.of(), matches(CHOICE, hazards));
+    assertEquals(List.of(), matches(MAIN.resolve("state"), hazards));
+  }
+
+  @Test
+  void noTunedValueStandsOutsideChoice() throws IOException {
+    // Numbers other than the plain ones of bookkeeping and units have no place in holders or interface.
+    Pattern number = Pattern.compile("(?<![\\w.\"])(?!(?:0|1|-1|2|1e9)(?![\\w.]))\\d[\\w.]*");
+    assertEquals(List.of(), matches(MAIN.resolve("state"), number));
+    assertEquals(List.of(), matches(MAIN.resolve("Decisions.java"), number));
+  }
+
+  @Test
+  void decisionsKnowNoWireNames() throws IOException {
+    Pattern wire = Pattern.compile("\\b(Relay|Busy|Surrender|StopAttempt|SoundOut|WakeAt|LimitsFor|gatewayId"
+        + "|sendNo|patienceLeft|wantMb|dataGroup|qos|billing|relation)\\b");
+    assertEquals(List.of(), matches(CHOICE, wire));
+    assertEquals(List.of(), matches(MAIN.resolve("Decisions.java"), wire));
+    assertEquals(List.of(), matches(MAIN.resolve("state"), wire));
+  }
+
+  @Test
+  void noDeploymentIsNamedInTheSources() throws IOException {
+    Pattern names = Pattern.compile("(?i)semarang|surabaya|bandung|rungkut|status-lookup|status-check"
+        + "|history-report|result-load|std-8|std-16|hall-[abc]");
+    assertEquals(List.of(), matches(Path.of("src/main"), names));
+  }
+
+  private static List<String> matches(Path root, Pattern pattern) throws IOException {
+    List<String> found = new ArrayList<>();
+    try (Stream<Path> files = Files.walk(root)) {
+      for (Path file : files.filter(f -> f.toString().endsWith(".java")).sorted().toList()) {
+        List<String> lines = Files.readAllLines(file);
+        for (int i = 0; i < lines.size(); i++) {
+          Matcher m = pattern.matcher(withoutComment(lines.get(i), pattern));
+          if (m.find()) {
+            found.add(file + ":" + (i + 1) + ": " + m.group());
+          }
+        }
+      }
+    }
+    return found;
+  }
+
+  private static String withoutComment(String line, Pattern pattern) {
+    boolean column = pattern.pattern().startsWith("^.{");
+    return column ? line : line.replaceAll("^\\s*(/?\\*|//).*$", "").replaceAll("//.*$", "");
+  }
+}
