--- a/src/main/java/reachloom/benchlink/SettingsReader.java
+++ b/src/main/java/reachloom/benchlink/SettingsReader.java
@@ -80,7 +80,8 @@
   private static Limits limits(JsonNode limits) {
     return new Limits(limits.path("maxAttempts").asInt(Integer.MAX_VALUE),
         limits.path("mayCancel").asBoolean(), limits.path("probes").asBoolean(),
-        limits.path("secondCopies").asBoolean(), limits.path("retryAfter").asBoolean(), limits.path("maxRetryAfter").asLong(Long.MAX_VALUE));
+        limits.path("secondCopies").asBoolean(), limits.path("retryAfter").asBoolean(),
+        limits.path("maxRetryAfter").asLong(Long.MAX_VALUE));
   }
 
   private static Rules rules(JsonNode rules) {
