Read waits for loads rightly, move queries that stand behind one, tell peers of held groups

Cause: status queries stood still behind loads of other gateways and ran into their time; the adapter mistook those waits for waits for memory. Peers' messages may be lost: the notes alone still move a query, the marks fade by themselves.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -2,6 +2,7 @@
 
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -74,8 +75,10 @@
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
-  private static final long LOAD_MARK = 1_000 * MILLISECOND; // a note of a wait for a load holds so long
+  private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group is taken to be held so long: a usual load
   private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
+  private static final String HELD = "held"; // message to peers: a load holds a group there
+  private static final String FREE = "free"; // ... and has ended
   private static final long TICK_TOKEN = 0;
   private static final long WATCH_TOKEN = 1;
 
@@ -452,6 +455,7 @@
       extrasInSpan.add(now, 1);
     }
     setTerms(q);
+    tellPeers(HELD, q, e);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
@@ -508,6 +512,9 @@
     a.lastNote = now;
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
+      if (!q.kind.load() && canMove(now, a)) {
+        abandon(now, a); // it has done nothing yet, and a load takes long
+      }
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
       if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
@@ -583,6 +590,7 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
+    tellPeers(FREE, q, e);
     a.engine.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
@@ -809,7 +817,24 @@
 
   @Override
   public void heard(long now, int peer, byte[] message) {
-    // Gateways share nothing here: peers' messages may be lost, and no decision rests on them.
+    // Which groups a peer's loads hold cannot be seen from here before a query stands still behind one.
+    String[] words = new String(message, StandardCharsets.UTF_8).split(" ");
+    Engine e = words.length == 3 ? engines.get(words[1]) : null;
+    if (e != null && words[2].matches("\\d{1,9}")) {
+      int group = Integer.parseInt(words[2]);
+      if (words[0].equals(HELD)) {
+        e.heldGroups.put(group, now + LOAD_MARK);
+      } else {
+        e.heldGroups.remove(group);
+      }
+    }
+  }
+
+  /** Tells peers of a group held or free again; the mark fades by itself where a message is lost. */
+  private void tellPeers(String word, QueryRecord q, Engine e) {
+    if (q.kind.load() && settings.limits().peers() && settings.gateways() > 1) {
+      actions.tell((word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8));
+    }
   }
 
   private static double seconds(long time) {
--- a/src/main/java/reachloom/Decisions.java
+++ b/src/main/java/reachloom/Decisions.java
@@ -68,6 +68,9 @@
     /** Asks an engine how it is. */
     void probe(String engine);
 
+    /** Sends a short message to all other gateways; it may be lost. */
+    void tell(byte[] message);
+
     /** Subscribes to discovery. */
     void watch();
 
@@ -141,7 +144,7 @@
 
   /** What is allowed. */
   record Limits(int maxAttempts, boolean cancel, boolean probes, boolean secondCopies, boolean retryAfter,
-      long maxRetryAfter) {
+      long maxRetryAfter, boolean peers) {
   }
 
   /** Figures of the rules; {@code lookBack} 0 means that further attempts are not rationed. */
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -34,8 +34,6 @@
 
 /** The simulator's wire: batches of events in, one reply each out, for many instances at once. */
 public final class BenchLink {
-  private static final NoteKind[] NOTE_KINDS =
-      {NoteKind.OTHER, NoteKind.PROGRESS, NoteKind.SPILL, NoteKind.MEMORY_WAIT, NoteKind.LOAD_WAIT};
   private static final Map<String, Outcome> OUTCOMES = Map.of("S", Outcome.SERVED, "E", Outcome.ERROR,
       "F", Outcome.FULL, "T", Outcome.TIMEOUT, "C", Outcome.UNREACHED, "R", Outcome.RESET,
       "X", Outcome.CANCELLED, "N", Outcome.NOT_SENT);
@@ -169,12 +167,8 @@
       case "BackendsChanged" -> engines(now, item, events);
       case "Order" -> events.arrive(now, query(item, name));
       case "Started" -> events.streaming(now, text(item, "handle", name), item.path("sendNo").asInt());
-      case "Progress" -> {
-        int sort = item.path("sort").asInt();
-        NoteKind kind = sort >= 0 && sort < NOTE_KINDS.length ? NOTE_KINDS[sort] : NoteKind.OTHER;
-        events.note(now, new Note(text(item, "handle", name), item.path("sendNo").asInt(),
-            item.path("node").asText(), kind, item.path("amount").asDouble()));
-      }
+      case "Progress" -> events.note(now, new Note(text(item, "handle", name), item.path("sendNo").asInt(),
+          item.path("node").asText(), noteKind(item), item.path("amount").asDouble()));
       case "Finished" -> events.end(now, attemptEnd(item, name));
       case "Left" -> events.leave(now, text(item, "handle", name));
       case "DeadlineHit" -> events.wake(now, item.path("nonce").asLong());
@@ -231,6 +225,15 @@
         item.path("noMore").asBoolean(), bill / 4096, bill % 4096 * 4.0, report(item.path("telemetry")));
   }
 
+  private static NoteKind noteKind(JsonNode item) {
+    return switch (item.path("sort").asInt()) {
+      case 1 -> NoteKind.PROGRESS;
+      case 2 -> NoteKind.SPILL;
+      case 3 -> item.path("amount").asInt() == 2 ? NoteKind.LOAD_WAIT : NoteKind.MEMORY_WAIT;
+      default -> NoteKind.OTHER;
+    };
+  }
+
   private static Report report(JsonNode values) {
     return values.isObject() ? new Report(value(values, "util"), value(values, "queue"), value(values, "x0"),
         value(values, "x1")) : null;
--- a/src/test/java/reachloom/benchlink/BenchLinkTest.java
+++ b/src/test/java/reachloom/benchlink/BenchLinkTest.java
@@ -9,10 +9,14 @@
 import java.io.PrintStream;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import reachloom.Choice;
 import reachloom.Decisions.Actions;
 import reachloom.Decisions.Events;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
 
 /** The adapter on lines of text. */
 class BenchLinkTest {
@@ -111,6 +115,20 @@
     assertTrue(err.toString(StandardCharsets.UTF_8).contains("at reachloom."));
   }
 
+  @Test
+  void tellsAWaitForALoadFromOneForMemory() throws IOException {
+    List<NoteKind> kinds = new ArrayList<>();
+    String note = "{\"cmd\":\"Progress\",\"gatewayId\":\"gateway_0\",\"handle\":\"01\",\"sort\":3,\"amount\":";
+    serve(actions -> (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
+        (proxy, method, arguments) -> {
+          if (method.getName().equals("note")) {
+            kinds.add(((Note) arguments[1]).kind());
+          }
+          return null;
+        }), batch(1, START, note + "1}", note + "2}"));
+    assertEquals(List.of(NoteKind.MEMORY_WAIT, NoteKind.LOAD_WAIT), kinds);
+  }
+
   private static Events broken(Actions actions) {
     return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
         (proxy, method, arguments) -> {
