--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import reachloom.state.Attempt;
 import reachloom.state.ClassRecord;
 import reachloom.state.Engine;
@@ -72,6 +73,7 @@
   private static final double COLD_MARGIN = 0.4; // of the cold budget: speeds and skew are not known
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
+  private static final double LOAD_ENGINES = 0.35; // share of the engines that take the loads of one group
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
@@ -89,6 +91,7 @@
   private boolean ticking;
   private long taken;
   private double crossing;
+  private boolean keepLoadsTogether;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
@@ -114,6 +117,7 @@
     s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
     s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_BURST)));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
+    keepLoadsTogether = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     crossing = s.crossPrice() * CROSS_WEIGHT;
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
@@ -393,17 +397,16 @@
 
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
-    List<Engine> able = new ArrayList<>();
-    List<Engine> fresh = new ArrayList<>();
+    List<Engine> draw = new ArrayList<>();
     for (Engine e : engines.values()) {
       if (open(now, q, e) && hasRoom(now, q, e)) {
-        able.add(e);
-        if (!q.triedOn(e)) {
-          fresh.add(e);
-        }
+        draw.add(e);
       }
     }
-    List<Engine> draw = fresh.isEmpty() ? able : fresh;
+    draw = preferred(draw, e -> !q.triedOn(e));
+    if (keepLoadsTogether && (q.kind.load() || q.kind.waitsForLoads())) {
+      draw = preferred(draw, e -> loadEngine(q, e) == q.kind.load());
+    }
     if (draw.size() < 2) {
       return draw.isEmpty() ? null : draw.get(0);
     }
@@ -414,6 +417,26 @@
     return load(now, q, a) <= load(now, q, b) ? a : b;
   }
 
+  private static List<Engine> preferred(List<Engine> engines, Predicate<Engine> wanted) {
+    List<Engine> some = engines.stream().filter(wanted).toList();
+    return some.isEmpty() ? engines : some;
+  }
+
+  /**
+   * Where queries stand still behind loads, the loads of a table group keep to a few engines, so that they do
+   * not hold the group everywhere. All gateways find the same ones, by a hash of name and group.
+   */
+  private boolean loadEngine(QueryRecord q, Engine e) {
+    long up = engines.values().stream().filter(o -> o.state == EngineState.UP).count();
+    long before = engines.values().stream()
+        .filter(o -> o.state == EngineState.UP && rank(o, q) < rank(e, q)).count();
+    return before < Math.ceil(up * LOAD_ENGINES);
+  }
+
+  private static int rank(Engine e, QueryRecord q) {
+    return new SplittableRandom(e.name.hashCode() * 31L + q.query.group()).nextInt();
+  }
+
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
@@ -550,7 +573,7 @@
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
     return furtherAllowed(now, q) && engines.values().stream()
-        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e));
+        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e) && !heldByLoad(now, q, e));
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
