Cap the engines that a group's loads hold; others go where it is free

Kept for the tail: a group held on all engines starves the quick class. May harm where loads of one group are most of the worth.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -73,7 +73,7 @@
   private static final double COLD_MARGIN = 0.4; // of the cold budget: speeds and skew are not known
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
-  private static final double LOAD_ENGINES = 0.35; // share of the engines that take the loads of one group
+  private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
@@ -91,7 +91,7 @@
   private boolean ticking;
   private long taken;
   private double crossing;
-  private boolean keepLoadsTogether;
+  private boolean loadsHoldUp;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
@@ -117,7 +117,7 @@
     s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
     s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_BURST)));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
-    keepLoadsTogether = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
+    loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     crossing = s.crossPrice() * CROSS_WEIGHT;
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
@@ -404,9 +404,8 @@
       }
     }
     draw = preferred(draw, e -> !q.triedOn(e));
-    if (keepLoadsTogether && (q.kind.load() || q.kind.waitsForLoads())) {
-      draw = preferred(draw, e -> loadEngine(q, e) == q.kind.load());
-    }
+    boolean join = q.kind.load() && holdsTooMuch(now, q);
+    draw = preferred(draw, e -> heldByLoad(now, q, e) == join);
     if (draw.size() < 2) {
       return draw.isEmpty() ? null : draw.get(0);
     }
@@ -422,19 +421,11 @@
     return some.isEmpty() ? engines : some;
   }
 
-  /**
-   * Where queries stand still behind loads, the loads of a table group keep to a few engines, so that they do
-   * not hold the group everywhere. All gateways find the same ones, by a hash of name and group.
-   */
-  private boolean loadEngine(QueryRecord q, Engine e) {
-    long up = engines.values().stream().filter(o -> o.state == EngineState.UP).count();
-    long before = engines.values().stream()
-        .filter(o -> o.state == EngineState.UP && rank(o, q) < rank(e, q)).count();
-    return before < Math.ceil(up * LOAD_ENGINES);
-  }
-
-  private static int rank(Engine e, QueryRecord q) {
-    return new SplittableRandom(e.name.hashCode() * 31L + q.query.group()).nextInt();
+  /** Where others stand still behind loads, those of one group must not hold it everywhere at once. */
+  private boolean holdsTooMuch(long now, QueryRecord q) {
+    long up = engines.values().stream().filter(e -> e.state == EngineState.UP).count();
+    long holding = engines.values().stream().filter(e -> heldByLoad(now, q, e)).count();
+    return loadsHoldUp && holding >= up * LOAD_ENGINES;
   }
 
   private double load(long now, QueryRecord q, Engine e) {
@@ -446,9 +437,6 @@
     if (e.warm.contains(q.query.group())) {
       load *= WARM_DISCOUNT;
     }
-    if (heldByLoad(now, q, e)) {
-      load *= 4;
-    }
     if (e.info.zone() != settings.zone()) {
       load *= 1 + crossing;
     }
