--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -351,7 +351,8 @@
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    return fits && (now >= e.pressedUntil || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
+    boolean standsStill = q.kind.waitsForLoads() && heldByLoad(now, q, e);
+    return fits && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
   // ---- The choice of engine ----
