--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -77,7 +77,7 @@
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
-  private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group is taken to be held so long: a usual load
+  private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
   private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
   private static final String HELD = "held"; // message to peers: a load holds a group there
   private static final String FREE = "free"; // ... and has ended
@@ -88,7 +88,6 @@
   private Settings settings;
   private SplittableRandom random;
   private long lastTick;
-  private boolean ticking;
   private long taken;
   private double crossing;
   private boolean loadsHoldUp;
@@ -124,7 +123,8 @@
     if (s.subscribe()) {
       actions.watch();
     }
-    keepTicking(now);
+    lastTick = now;
+    actions.timer(TICK, TICK_TOKEN);
   }
 
   @Override
@@ -209,7 +209,6 @@
     } else {
       held.put(q.number, q);
     }
-    keepTicking(now);
   }
 
   /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
@@ -291,26 +290,19 @@
       }
       c.memories++;
     }
-    double own = time / e.ratio;
-    if (q.query.cost() > 0) {
-      double weight = seconds(q.query.cost()) / c.meanCost; // the long ones tell most of the factor
-      c.factor = average(c.factor, own / seconds(q.query.cost()), c.served, Math.min(weight, 3));
-    }
-    c.meanTime = average(c.meanTime, own, c.served);
-    c.served++;
+    c.meanTime = average(c.meanTime, time / e.ratio, c.served);
+    c.servedCost = average(c.servedCost, cost(q), c.served++);
+    c.factor = c.meanTime / c.servedCost;
     double ratio = time / Math.max(a.predicted, 1e-3);
-    e.ratio = clamp(e.ratio + RATIO_WEIGHT * (ratio - e.ratio), RATIO_LEAST, RATIO_MOST);
+    ratio = e.ratio + RATIO_WEIGHT * (ratio - e.ratio);
+    e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
     noteStrain(e, time / aim, work);
   }
 
   private double average(double mean, double value, int count) {
-    return average(mean, value, count, 1);
-  }
-
-  private double average(double mean, double value, int count, double weight) {
-    return mean + Math.min(1, weight * Math.max(LEARN_WEIGHT, 1.0 / (count + 1))) * (value - mean);
+    return mean + Math.max(LEARN_WEIGHT, 1.0 / (count + 1)) * (value - mean);
   }
 
   // ---- The bound, and whether it binds ----
@@ -352,7 +344,8 @@
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
     boolean standsStill = q.kind.waitsForLoads() && heldByLoad(now, q, e);
-    return fits && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
+    double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
+    return fits && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
   }
 
   // ---- The choice of engine ----
@@ -433,7 +426,7 @@
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
-      load *= 1 + zeroIfUnknown(e.report.util()) + zeroIfUnknown(e.report.queue()) / e.cores;
+      load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
     if (e.warm.contains(q.query.group())) {
       load *= WARM_DISCOUNT;
@@ -681,8 +674,8 @@
     boolean blocked = false;
     for (QueryRecord q : new ArrayList<>(held.values())) {
       boolean itsTurn = itsTurn(now, q);
-      if (itsTurn && q.keyLine != null && q.attempts.isEmpty()) {
-        q.heldUntil = Math.max(q.heldUntil, now + TICK);
+      if (!itsTurn) { // the wait for its key is no wait for room
+        q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
       }
       double left = estimate(q, meanRatio()) + (itsTurn ? 0 : keyWait(q, meanRatio()));
       if (now + (long) (left * SECOND) > q.deadline) {
@@ -755,14 +748,6 @@
 
   // ---- Time ----
 
-  private void keepTicking(long now) {
-    if (!ticking) {
-      ticking = true;
-      lastTick = now;
-      actions.timer(TICK, TICK_TOKEN);
-    }
-  }
-
   @Override
   public void wake(long now, long token) {
     if (token == WATCH_TOKEN) {
@@ -852,12 +837,4 @@
   private static double seconds(long time) {
     return time / SECOND;
   }
-
-  private static double zeroIfUnknown(double value) {
-    return Double.isNaN(value) ? 0 : value;
-  }
-
-  private static double clamp(double value, double least, double most) {
-    return Math.max(least, Math.min(most, value));
-  }
 }
--- a/src/main/java/reachloom/Decisions.java
+++ b/src/main/java/reachloom/Decisions.java
@@ -124,7 +124,7 @@
   record Note(String query, int attempt, String engine, NoteKind kind, double amount) {
   }
 
-  /** A load report; a value that the engines do not tell is NaN. */
+  /** A load report; a value that the engines do not tell is 0. */
   record Report(double util, double queue, double memoryShare, double diskShare) {
   }
 
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -235,12 +235,8 @@
   }
 
   private static Report report(JsonNode values) {
-    return values.isObject() ? new Report(value(values, "util"), value(values, "queue"), value(values, "x0"),
-        value(values, "x1")) : null;
-  }
-
-  private static double value(JsonNode values, String name) {
-    return values.path(name).isNumber() ? values.path(name).asDouble() : Double.NaN;
+    return values.isObject() ? new Report(values.path("util").asDouble(), values.path("queue").asDouble(),
+        values.path("x0").asDouble(), values.path("x1").asDouble()) : null;
   }
 
   private static byte[] bytes(String raw) throws MalformedBatchException {
--- a/src/main/java/reachloom/state/ClassRecord.java
+++ b/src/main/java/reachloom/state/ClassRecord.java
@@ -7,9 +7,10 @@
   public final QueryClass kind;
   /** Seconds of time for a second of cost; 0 before the first cost is known. */
   public double factor;
-  /** Mean time in seconds, mean cost in seconds, mean memory in MB. */
+  /** Means: time and cost in seconds, cost of those served, memory in MB. */
   public double meanTime;
   public double meanCost;
+  public double servedCost;
   public double meanMemory;
   /** Memory needed for each MB estimated. */
   public double memoryFactor = 1;
--- a/src/test/java/reachloom/benchlink/BenchLinkTest.java
+++ b/src/test/java/reachloom/benchlink/BenchLinkTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 import reachloom.Choice;
 import reachloom.Decisions.Actions;
@@ -118,23 +119,28 @@
   @Test
   void tellsAWaitForALoadFromOneForMemory() throws IOException {
     List<NoteKind> kinds = new ArrayList<>();
-    String note = "{\"cmd\":\"Progress\",\"gatewayId\":\"gateway_0\",\"handle\":\"01\",\"sort\":3,\"amount\":";
-    serve(actions -> (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
-        (proxy, method, arguments) -> {
-          if (method.getName().equals("note")) {
-            kinds.add(((Note) arguments[1]).kind());
-          }
-          return null;
-        }), batch(1, START, note + "1}", note + "2}"));
+    String note = "{\"cmd\":\"Progress\",\"gatewayId\":\"gateway_0\",\"handle\":\"01\","
+        + "\"sort\":3,\"amount\":";
+    serve(actions -> events((method, arguments) -> {
+      if (method.equals("note")) {
+        kinds.add(((Note) arguments[1]).kind());
+      }
+    }), batch(1, START, note + "1}", note + "2}"));
     assertEquals(List.of(NoteKind.MEMORY_WAIT, NoteKind.LOAD_WAIT), kinds);
   }
 
   private static Events broken(Actions actions) {
+    return events((method, arguments) -> {
+      if (method.equals("arrive")) {
+        throw new IllegalStateException("broken on purpose");
+      }
+    });
+  }
+
+  private static Events events(BiConsumer<String, Object[]> heard) {
     return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
         (proxy, method, arguments) -> {
-          if (method.getName().equals("arrive")) {
-            throw new IllegalStateException("broken on purpose");
-          }
+          heard.accept(method.getName(), arguments);
           return null;
         });
   }
