--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -70,7 +70,7 @@
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
   // Guards.
-  private static final double COLD_MARGIN = 0.4; // of the cold budget: speeds and skew are not known
+  private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
   private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
