--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -772,7 +772,7 @@
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
-    noteError(now, a.engine);
+    a.engine.errors += ERROR_WEIGHT * (1 - a.engine.errors); // drawn less, but what it answers still counts
     if (silent) {
       rest(now, a.engine);
     }
