--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -31,7 +31,8 @@
 
   // The bound.
   private static final double BOUND_THREADS = 8; // threads a core at the start, given by the design
-  private static final double BOUND_FLOOR = 1.5; // threads a core; an engine does its most at one to two
+  private static final double BUSY_FLOOR = 2; // threads a core; an engine does its most at one to two
+  private static final double SLOW_FLOOR = 1.5; // ... and where its answers are slow, no more than that
   private static final double BOUND_CUT = 0.85; // a cut under pressure: halved in about four steps
   private static final double BOUND_GROWTH = 1.05; // regained more slowly than lost
   private static final long BOUND_PAUSE = 250 * MILLISECOND; // between changes, so that each can show
@@ -324,7 +325,8 @@
     }
     e.boundChangedAt = now;
     if (pressed) {
-      double least = Math.max(widest(), e.cores * BOUND_FLOOR / settings.gateways());
+      double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
+      double least = Math.max(widest(), e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
     } else if (e.strain < CALM) {
       e.bound = Math.min(mostThreads(e), e.bound * BOUND_GROWTH);
