--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -52,7 +52,7 @@
   private static final double RATIO_MOST = 20; // ... nor close it for good
   private static final double LEARN_WEIGHT = 0.02; // of a class's newest query, after the first few
   private static final double UNKNOWN_COST = 0.25; // share of the deadline; high, for cold engines' sake
-  private static final double GRANT_MARGIN = 1.15; // grant over the need expected: a spill costs more
+  private static final double GRANT_MARGIN = 1.2; // grant over the need expected: a spill costs more
 
   // Holding.
   private static final double HOLD_SHARE = 0.1; // of the query's time; "a small part" in the design
@@ -257,7 +257,8 @@
 
   private double memory(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+    return settings.traits().grants() ? need * GRANT_MARGIN : need;
   }
 
   private double meanRatio() {
@@ -484,7 +485,7 @@
     Traits traits = settings.traits();
     int priority = dense(q) ? 3 : 1;
     ClassRecord c = classes.get(q.query.queryClass());
-    double grant = traits.grants() && c.memories > 0 ? memory(q) * GRANT_MARGIN : 0;
+    double grant = traits.grants() && c.memories > 0 ? memory(q) : 0;
     if (traits.priorities() && priority != 1 || grant > 0) {
       actions.terms(q.query.id(), grant, priority);
     }
@@ -517,6 +518,10 @@
     Attempt a = q.attempts.get(note.attempt());
     a.engine.lastSign = now;
     a.lastNote = now;
+    a.inLine = note.kind() == NoteKind.MEMORY_WAIT;
+    if (a.inLine) {
+      a.engine.fullUntil = now + FULL_REST; // as good as a full refusal
+    }
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
       if (!q.kind.load() && canMove(now, a)) {
@@ -598,7 +603,7 @@
     a.ended = true;
     q.out--;
     tellPeers(FREE, q, e);
-    a.engine.remove(a);
+    e.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
     }
@@ -649,30 +654,20 @@
   /** After a failed attempt: elsewhere at once, else held as at arrival, else the final answer. */
   private void goOn(long now, QueryRecord q) {
     boolean late = now + (long) (estimate(q, meanRatio()) * SECOND) > q.deadline;
-    if (late || !furtherAllowed(now, q) || !repeatPossible(now, q)) {
+    boolean nowhere = engines.values().stream()
+        .noneMatch(e -> e.state == EngineState.UP && repeatAllowed(now, q, e));
+    if (late || nowhere || !furtherAllowed(now, q)) {
       giveUp(now, q);
       return;
     }
-    Engine engine = pick(now, q);
-    if (engine != null) {
-      send(now, q, engine);
-    } else {
-      q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
-      held.put(q.number, q);
-    }
-  }
-
-  private boolean repeatPossible(long now, QueryRecord q) {
-    return engines.values().stream().anyMatch(e -> e.state == EngineState.UP && repeatAllowed(now, q, e));
+    q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
+    held.put(q.number, q); // the release that follows sends it at once where it can
   }
 
   // ---- The held line ----
 
   /** Releases held queries, oldest first; a query that waits for its key holds up nobody else. */
   private void release(long now) {
-    if (held.isEmpty()) {
-      return;
-    }
     boolean blocked = false;
     for (QueryRecord q : new ArrayList<>(held.values())) {
       boolean itsTurn = itsTurn(now, q);
@@ -789,7 +784,8 @@
     for (Attempt a : period > 0 ? new ArrayList<>(e.out) : List.<Attempt>of()) {
       long quiet = now - Math.max(a.sentAt, a.lastNote);
       // An engine may lose single queries while it answers the rest: each attempt is judged by its own notes.
-      if (quiet > (talks ? LOST_NOTES : SILENT_NOTES) * period) {
+      // One that waits for memory tells so once and is then quiet until it runs.
+      if (quiet > (talks ? LOST_NOTES : SILENT_NOTES) * period && !(talks && a.inLine)) {
         lose(now, a, silent);
       }
     }
--- a/src/main/java/reachloom/state/Attempt.java
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -12,6 +12,7 @@
   public double predicted;
   public double share;
   public long lastNote;
+  public boolean inLine;
   public boolean ended;
   public boolean abandoned;
 
