--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -65,7 +65,7 @@
   private static final long REST = 1_000 * MILLISECOND; // first rest, doubled with each further trouble
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
-  private static final double SILENT_NOTES = 4; // note periods without a sign of an engine: silence
+  private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
