--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -363,13 +363,15 @@
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
         && repeatAllowed(now, q, e)
-        && (now >= e.coldUntil || e.coldWork.sum(now) + coldCost(q) <= coldBudget(e));
+        && (now >= e.coldUntil || e.coldWork.sum(now) + coldCost(q) <= coldBudget(now, e));
   }
 
-  /** Work that this gateway may send to a cold engine within the rule's time. */
-  private double coldBudget(Engine e) {
+  /** Work that this gateway may send to a cold engine within the rule's time; taken to warm up late. */
+  private double coldBudget(long now, Engine e) {
     Rules r = settings.rules();
-    return COLD_MARGIN * r.fallMultiple() * r.coldShare() * BUSY_CORES * e.cores * seconds(r.fallTime())
+    double age = Math.max(0, 1 - (double) (e.coldUntil - now) / r.coldTime());
+    double share = r.coldShare() + (1 - r.coldShare()) * age * age;
+    return COLD_MARGIN * r.fallMultiple() * share * BUSY_CORES * e.cores * seconds(r.fallTime())
         / settings.gateways();
   }
 
