--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -292,6 +292,9 @@
       }
       c.memories++;
     }
+    if (a.stood) {
+      return; // the time behind a load tells nothing of class or engine
+    }
     c.meanTime = average(c.meanTime, time / e.ratio, c.served);
     c.servedCost = average(c.servedCost, cost(q), c.served++);
     c.factor = c.meanTime / c.servedCost;
@@ -526,6 +529,7 @@
     }
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
+      a.stood = true;
       if (!q.kind.load() && canMove(now, a)) {
         abandon(now, a); // it has done nothing yet, and a load takes long
       }
--- a/src/main/java/reachloom/state/Attempt.java
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -13,6 +13,7 @@
   public double share;
   public long lastNote;
   public boolean inLine;
+  public boolean stood;
   public boolean ended;
   public boolean abandoned;
 
