--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -292,9 +292,6 @@
       }
       c.memories++;
     }
-    if (a.stood) {
-      return; // the time behind a load tells nothing of class or engine
-    }
     c.meanTime = average(c.meanTime, time / e.ratio, c.served);
     c.servedCost = average(c.servedCost, cost(q), c.served++);
     c.factor = c.meanTime / c.servedCost;
@@ -351,7 +348,8 @@
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
     boolean standsStill = q.kind.waitsForLoads() && heldByLoad(now, q, e);
     double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
-    return fits && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
+    boolean small = dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
+    return (fits || small) && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
   }
 
   // ---- The choice of engine ----
@@ -524,12 +522,9 @@
     a.engine.lastSign = now;
     a.lastNote = now;
     a.inLine = note.kind() == NoteKind.MEMORY_WAIT;
-    if (a.inLine) {
-      a.engine.fullUntil = now + FULL_REST; // as good as a full refusal
-    }
+    a.engine.fullUntil = a.inLine ? now + FULL_REST : a.engine.fullUntil; // as good as a full refusal
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
-      a.stood = true;
       if (!q.kind.load() && canMove(now, a)) {
         abandon(now, a); // it has done nothing yet, and a load takes long
       }
--- a/src/main/java/reachloom/state/Attempt.java
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -13,7 +13,6 @@
   public double share;
   public long lastNote;
   public boolean inLine;
-  public boolean stood;
   public boolean ended;
   public boolean abandoned;
 
