--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -525,7 +525,7 @@
     a.engine.fullUntil = a.inLine ? now + FULL_REST : a.engine.fullUntil; // as good as a full refusal
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
-      if (!q.kind.load() && canMove(now, a)) {
+      if (canMove(now, a)) {
         abandon(now, a); // it has done nothing yet, and a load takes long
       }
     } else if (note.kind() == NoteKind.PROGRESS) {
