At most two loads of a group at an engine

Guards against any pile-up behind a held group; may refuse loads where a hot group is most of the loads.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -74,6 +74,7 @@
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
+  private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
@@ -346,7 +347,9 @@
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    boolean standsStill = q.kind.waitsForLoads() && heldByLoad(now, q, e);
+    int group = q.query.group();
+    int line = e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
+    boolean standsStill = q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE;
     double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
     boolean small = dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
     return (fits || small) && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
