--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -347,8 +347,7 @@
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    int group = q.query.group();
-    int line = e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
+    int line = loadsThere(now, q, e);
     boolean standsStill = q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE;
     double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
     boolean small = dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
@@ -450,11 +449,13 @@
   }
 
   private boolean heldByLoad(long now, QueryRecord q, Engine e) {
-    if (!q.kind.load() && !q.kind.waitsForLoads()) {
-      return false;
-    }
+    return (q.kind.load() || q.kind.waitsForLoads()) && loadsThere(now, q, e) > 0;
+  }
+
+  /** Loads of the query's group known at the engine: our own, and one of others while a mark lasts. */
+  private int loadsThere(long now, QueryRecord q, Engine e) {
     int group = q.query.group();
-    return e.loads.getOrDefault(group, 0) > 0 || e.heldGroups.getOrDefault(group, 0L) > now;
+    return e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
   }
 
   // ---- Sending ----
@@ -628,7 +629,7 @@
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
-      noteError(now, e);
+      noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
       e.lastSign = now;
@@ -641,15 +642,9 @@
     }
   }
 
-  private void noteError(long now, Engine e) {
+  private void noteTrouble(long now, Engine e, boolean rests) {
     e.errors += ERROR_WEIGHT * (1 - e.errors);
-    if (e.errors > ERRORS_BAD) {
-      rest(now, e);
-    }
-  }
-
-  private void rest(long now, Engine e) {
-    if (now >= e.restUntil) {
+    if (rests && now >= e.restUntil) {
       e.restUntil = now + (REST << Math.min(e.troubles, REST_DOUBLINGS));
       e.troubles++;
     }
@@ -773,10 +768,7 @@
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
-    a.engine.errors += ERROR_WEIGHT * (1 - a.engine.errors); // drawn less, but what it answers still counts
-    if (silent) {
-      rest(now, a.engine);
-    }
+    noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
     abandon(now, a);
   }
 
--- a/src/test/java/reachloom/ChoiceTest.java
+++ b/src/test/java/reachloom/ChoiceTest.java
@@ -11,11 +11,15 @@
 import static reachloom.Bench.engine;
 import static reachloom.Bench.up;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import reachloom.Decisions.Effect;
 import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
 import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Overbooked;
 import reachloom.Decisions.Scope;
 import reachloom.Decisions.Tenant;
 
@@ -372,6 +376,83 @@
     assertEquals(0, count(b.take(), "refuse"), "a tenant within its share is held");
   }
 
+  @Test
+  void loadsOfAGroupDoNotPileUpAtAnEngine() {
+    Bench b = new Bench().start(up("a"));
+    for (int i = 0; i < 6; i++) {
+      b.arrive("l" + i, KEYED, 0.5);
+    }
+    assertEquals(2, count(b.take(), "send l"));
+    b.served("l0", "a", 0.5);
+    assertEquals(List.of("send l2 a"), b.take());
+  }
+
+  @Test
+  void movesAQueryThatStandsBehindALoad() {
+    Bench b = new Bench();
+    b.start(up("a"), up("b"));
+    b.arrive("q", LONG, 0.5);
+    String on = b.take().get(0).substring("send q ".length());
+    b.choice.note(b.now, new Note("q", 0, on, NoteKind.LOAD_WAIT, 2));
+    assertEquals(List.of("cancel q 0"), b.take());
+    b.end("q", 0, on, Outcome.CANCELLED, 0.1, false);
+    assertEquals(List.of("send q " + (on.equals("a") ? "b" : "a")), b.take());
+  }
+
+  @Test
+  void tellsPeersOfHeldGroupsAndAvoidsTheirs() {
+    Bench b = new Bench();
+    b.peers = true;
+    b.gateways = 2;
+    b.start(up("a"), up("b"));
+    b.choice.heard(b.now, 1, "held a 3".getBytes(StandardCharsets.UTF_8));
+    b.arrive("l", KEYED, 0.5);
+    assertEquals(List.of("tell held b 3", "send l b"), b.take());
+    b.choice.heard(b.now, 1, "free a 3".getBytes(StandardCharsets.UTF_8));
+    b.arrive("m", KEYED, 0.5);
+    assertEquals(List.of("tell held a 3", "send m a"), b.take());
+    b.choice.heard(b.now, 1, new byte[] {1, 2, 3});
+    b.served("m", "a", 0.5);
+    assertEquals(List.of("tell free a 3"), b.take());
+  }
+
+  @Test
+  void aWaitForMemoryBindsTheBoundAndIsNoLoss() {
+    Bench b = new Bench();
+    b.notePeriod = 500 * MS;
+    b.start(up("a"));
+    for (int i = 0; i < 40; i++) {
+      b.arrive("q" + i, LONG, 1);
+    }
+    assertEquals(40, count(b.take(), "send"));
+    b.choice.note(b.now, new Note("q0", 0, "a", NoteKind.MEMORY_WAIT, 1));
+    for (int round = 0; round < 3; round++) {
+      b.pass(400 * MS);
+      for (int i = 1; i < 40; i++) {
+        b.note("q" + i, "a", 0.5);
+      }
+    }
+    assertEquals(List.of(), b.take(), "q0 stands in the engine's line and is not lost");
+    b.arrive("next", LONG, 1);
+    assertEquals(0, count(b.take(), "send"), "held");
+  }
+
+  @Test
+  void memoryIsRoomButNotForDenseClassesWhereEnginesKeepALine() {
+    for (Overbooked how : Overbooked.values()) {
+      Bench b = new Bench();
+      b.memoryMb = 1000;
+      b.overbooked = how;
+      b.start(up("a"));
+      for (int i = 0; i < 20; i++) {
+        b.arrive("l" + i, LONG, 2);
+      }
+      assertEquals(9, count(b.take(), "send"), "950 of 1000 MB are planned, 100 each");
+      b.arrive("q", QUICK, 0.05);
+      assertEquals(how == Overbooked.PAGE ? 0 : 1, count(b.take(), "send q"));
+    }
+  }
+
   @Test
   void sameEventsSameActions() {
     List<String> first = script();
@@ -381,7 +462,7 @@
 
   private static List<String> script() {
     Bench b = new Bench().start(up("a"), up("b"), up("c"));
-    for (int i = 0; i < 60; i++) {
+    for (int i = 0; i < 120; i++) {
       b.arrive("q" + i, i % 3, 0.2 + i % 5);
       b.pass(30 * MS);
     }
