--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -77,7 +77,7 @@
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
   private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
-  private static final double CROSS_WEIGHT = 4; // load share for each unit of the price of crossing
+  private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
   private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
