--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -67,7 +67,8 @@
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
-  private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is not pressed: probes have a price
+  private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
+  private static final double IN_USE = 0.5; // own threads a core, for all gateways: a burst could press it
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
@@ -786,8 +787,9 @@
         lose(now, a, silent);
       }
     }
+    boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
     if (settings.limits().probes() && settings.traits().reports() && !e.probing
-        && e.state == EngineState.UP && now - e.probedAt >= (now < e.pressedUntil ? PROBE_GAP : CALM_GAP)) {
+        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP)) {
       e.probing = true;
       e.probedAt = now;
       actions.probe(e.name);
