--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -640,6 +640,7 @@
       }
     } else if (end.outcome() == Outcome.FULL) {
       e.fullUntil = now + FULL_REST;
+      e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
       e.bound = Math.max(widest(), Math.min(e.bound, e.threads) * BOUND_CUT);
     }
   }
