--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -327,12 +327,13 @@
     if (now - e.boundChangedAt < BOUND_PAUSE) {
       return;
     }
-    e.boundChangedAt = now;
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
       double least = Math.max(widest(), e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
-    } else if (e.strain < CALM) {
+      e.boundChangedAt = now;
+    } else if (e.strain < CALM && e.bound < mostThreads(e)) {
+      e.boundChangedAt = now;
       e.bound = Math.min(mostThreads(e), e.bound * BOUND_GROWTH);
     }
   }
--- a/src/test/java/reachloom/ChoiceTest.java
+++ b/src/test/java/reachloom/ChoiceTest.java
@@ -453,6 +453,33 @@
     }
   }
 
+  @Test
+  void aBusyReportBindsARestartedGatewayAtOnce() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.start(up("a"));
+    b.pass(25 * MS);
+    assertEquals(List.of("probe a"), b.take());
+    b.report("a", 1);
+    b.pass(25 * MS);
+    for (int i = 0; i < 40; i++) {
+      b.arrive("q" + i, LONG, 1);
+    }
+    assertEquals(8, count(b.take(), "send"), "sixteen threads: two a core, all from one gateway");
+  }
+
+  @Test
+  void aFullEngineIsLeftAloneForAWhile() {
+    Bench b = new Bench().start(up("a"), up("b"));
+    b.arrive("q", QUICK, 0.1);
+    String full = b.take().get(0).substring("send q ".length());
+    b.end("q", 0, full, Outcome.FULL, 0, false);
+    for (int i = 0; i < 10; i++) {
+      b.arrive("r" + i, QUICK, 0.1);
+    }
+    assertFalse(b.take().stream().anyMatch(x -> x.endsWith(" " + full)));
+  }
+
   @Test
   void sameEventsSameActions() {
     List<String> first = script();
