--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -56,6 +56,7 @@
 
   // Holding.
   private static final double HOLD_SHARE = 0.1; // of the query's time; "a small part" in the design
+  private static final int FRONT = 8; // held queries looked at on each event; all of them on each tick
   private static final long TICK = 25 * MILLISECOND; // between looks at the line, engines and attempts
 
   // Health.
@@ -150,7 +151,7 @@
       }
     }
     engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
-    release(now);
+    release(now, true);
   }
 
   private void restart(long now, Engine e, EngineInfo entry) {
@@ -603,7 +604,7 @@
       goOn(now, q);
     }
     forget(now, q);
-    release(now);
+    release(now, false);
   }
 
   private void settle(long now, QueryRecord q, Attempt a, AttemptEnd end) {
@@ -670,23 +671,21 @@
   // ---- The held line ----
 
   /** Releases held queries, oldest first; a query that waits for its key holds up nobody else. */
-  private void release(long now) {
+  private void release(long now, boolean all) {
     boolean blocked = false;
-    for (QueryRecord q : new ArrayList<>(held.values())) {
+    double ratio = meanRatio();
+    for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
         q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
       }
-      double left = estimate(q, meanRatio()) + (itsTurn ? 0 : keyWait(q, meanRatio()));
-      if (now + (long) (left * SECOND) > q.deadline) {
-        giveUp(now, q);
-        continue;
-      }
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
-      Engine e = itsTurn && (!blocked || bound) ? pick(now, q) : null;
+      double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
+      boolean late = now + (long) (left * SECOND) > q.deadline;
+      Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
-      } else if (itsTurn && now >= q.heldUntil) {
+      } else if (late || itsTurn && now >= q.heldUntil) {
         giveUp(now, q);
       } else {
         blocked |= itsTurn && !bound;
@@ -730,7 +729,7 @@
       }
     }
     forget(now, q);
-    release(now);
+    release(now, false);
   }
 
   private void forget(long now, QueryRecord q) {
@@ -765,7 +764,7 @@
       watchOver(now, e);
       moveBound(now, e);
     }
-    release(now);
+    release(now, true);
     actions.timer(TICK, TICK_TOKEN);
   }
 
