--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -203,7 +203,7 @@
       q.keyLine = keyLines.computeIfAbsent(query.key(), KeyLine::new);
       q.keyLine.queries.addLast(q);
     }
-    q.heldUntil = now + (long) (time * HOLD_SHARE);
+    q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
     Engine engine = itsTurn ? pick(now, q) : null;
     if (engine != null && seconds(time) >= estimate(q, engine.ratio)) {
@@ -559,12 +559,16 @@
   /** Cancels an attempt that is worth leaving, so that the query can go elsewhere or be answered. */
   private void abandon(long now, Attempt a) {
     QueryRecord q = a.query;
-    if (a.ended || a.abandoned || q.over || q.streaming || !settings.limits().cancel()
-        || q.kind.effect() == Effect.UNSAFE) {
-      return;
+    if (!q.over && !q.streaming && q.kind.effect() != Effect.UNSAFE) {
+      cancel(a);
+    }
+  }
+
+  private void cancel(Attempt a) {
+    if (!a.ended && !a.abandoned && settings.limits().cancel()) {
+      a.abandoned = true;
+      actions.cancel(a.query.query.id(), a.number);
     }
-    a.abandoned = true;
-    actions.cancel(q.query.id(), a.number);
   }
 
   /** True where another engine can take the query now, within the rules. */
@@ -621,10 +625,7 @@
     if (q.keyLine != null && mayRunOn) {
       q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
     }
-    if (end.report() != null) {
-      e.report = end.report();
-      e.reportAt = now;
-    }
+    noteReport(now, e, end.report());
   }
 
   /** Health by symptom: errors, resets and failed connects are trouble, an answer ends it. */
@@ -664,7 +665,7 @@
       giveUp(now, q);
       return;
     }
-    q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
+    q.heldUntil = holdUntil(now, q);
     held.put(q.number, q); // the release that follows sends it at once where it can
   }
 
@@ -677,7 +678,7 @@
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
-        q.heldUntil = now + (long) ((q.deadline - now) * HOLD_SHARE);
+        q.heldUntil = holdUntil(now, q);
       }
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
@@ -693,6 +694,10 @@
     }
   }
 
+  private long holdUntil(long now, QueryRecord q) {
+    return now + (long) ((q.deadline - now) * HOLD_SHARE);
+  }
+
   private boolean itsTurn(long now, QueryRecord q) {
     return q.keyLine == null || q.keyLine.queries.peekFirst() == q && now >= q.keyLine.restUntil;
   }
@@ -722,12 +727,7 @@
     }
     held.remove(q.number);
     q.over = true;
-    for (Attempt a : q.attempts) {
-      if (!a.ended && !a.abandoned && settings.limits().cancel()) {
-        a.abandoned = true;
-        actions.cancel(query, a.number);
-      }
-    }
+    q.attempts.forEach(this::cancel);
     forget(now, q);
     release(now, false);
   }
@@ -804,7 +804,11 @@
       return;
     }
     e.probing = false;
-    if (answered && report != null) {
+    noteReport(now, e, answered ? report : null);
+  }
+
+  private void noteReport(long now, Engine e, Report report) {
+    if (report != null) {
       e.report = report;
       e.reportAt = now;
     }
--- a/src/test/java/reachloom/ShapeTest.java
+++ b/src/test/java/reachloom/ShapeTest.java
@@ -43,25 +43,21 @@
     assertEquals(List.of(), matches(CHOICE, field));
     Pattern hazards =
         Pattern.compile("currentTimeMillis|nanoTime|Math\\.random|new Random\\(|\\bHash(Map|Set)\\b");
-    assertEquals(List.of(), matches(CHOICE, hazards));
-    assertEquals(List.of(), matches(MAIN.resolve("state"), hazards));
+    assertNone(hazards, CHOICE, MAIN.resolve("state"));
   }
 
   @Test
   void noTunedValueStandsOutsideChoice() throws IOException {
     // Numbers other than the plain ones of bookkeeping and units have no place in holders or interface.
     Pattern number = Pattern.compile("(?<![\\w.\"])(?!(?:0|1|-1|2|1e9)(?![\\w.]))\\d[\\w.]*");
-    assertEquals(List.of(), matches(MAIN.resolve("state"), number));
-    assertEquals(List.of(), matches(MAIN.resolve("Decisions.java"), number));
+    assertNone(number, MAIN.resolve("state"), MAIN.resolve("Decisions.java"));
   }
 
   @Test
   void decisionsKnowNoWireNames() throws IOException {
     Pattern wire = Pattern.compile("\\b(Relay|Busy|Surrender|StopAttempt|SoundOut|WakeAt|LimitsFor|gatewayId"
         + "|sendNo|patienceLeft|wantMb|dataGroup|qos|billing|relation)\\b");
-    assertEquals(List.of(), matches(CHOICE, wire));
-    assertEquals(List.of(), matches(MAIN.resolve("Decisions.java"), wire));
-    assertEquals(List.of(), matches(MAIN.resolve("state"), wire));
+    assertNone(wire, CHOICE, MAIN.resolve("Decisions.java"), MAIN.resolve("state"));
   }
 
   @Test
@@ -71,6 +67,12 @@
     assertEquals(List.of(), matches(Path.of("src/main"), names));
   }
 
+  private static void assertNone(Pattern pattern, Path... roots) throws IOException {
+    for (Path root : roots) {
+      assertEquals(List.of(), matches(root, pattern));
+    }
+  }
+
   private static List<String> matches(Path root, Pattern pattern) throws IOException {
     List<String> found = new ArrayList<>();
     try (Stream<Path> files = Files.walk(root)) {
