Probes and messages follow the gateway's own queries; ask two drawn engines for worthy ones

Cause: probes and messages grew as gateways x engines. Should cover any fleet whose gateways have few queries; may hurt where probes are slow, since worthy queries wait for them, 20 ms at most.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -67,6 +68,10 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
+  private static final double PROBE_SHARE = 0.5; // probes for each query taken, at most: each costs
+  private static final double TELL_SHARE = 0.2; // full messages for each query taken, all receivers counted
+  private static final double FULL_MESSAGE = 256; // bytes that a message is priced by
+  private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
   private static final double IN_USE = 0.5; // own threads a core, for all gateways: a burst could press it
@@ -95,6 +100,9 @@
   private long lastTick;
   private long taken;
   private double crossing;
+  private double probeCredit;
+  private double tellCredit;
+  private double meanWorth;
   private boolean loadsHoldUp;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
@@ -103,6 +111,7 @@
   private final List<ClassRecord> classes = new ArrayList<>();
   private final List<TokenBucket> tenants = new ArrayList<>();
   private final Set<Integer> boundKinds = new LinkedHashSet<>();
+  private final SlidingSum takenLately = new SlidingSum(REPORT_AGE);
   private SlidingSum takenInSpan;
   private SlidingSum extrasInSpan;
 
@@ -119,7 +128,7 @@
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
-    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_BURST)));
+    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), Math.max(1, t.quotaPerSecond() / s.gateways() * TENANT_BURST))));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
     loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     crossing = s.crossPrice() * CROSS_WEIGHT;
@@ -137,13 +146,14 @@
     Set<String> named = new LinkedHashSet<>();
     for (EngineInfo entry : entries) {
       named.add(entry.name());
-      Engine e = engines.computeIfAbsent(entry.name(), Engine::new);
-      boolean restarted = e.info == null || entry.since() > e.info.since();
+      Engine old = engines.get(entry.name());
+      if (old == null || entry.since() > old.info.since()) {
+        engines.put(entry.name(), started(now, entry)); // nothing known of the old process holds
+        List.copyOf(old == null ? Set.of() : old.out).forEach(a -> lose(now, a, false));
+      }
+      Engine e = engines.get(entry.name());
       e.info = entry;
       e.state = entry.state();
-      if (restarted) {
-        restart(now, e, entry);
-      }
     }
     for (Engine e : engines.values()) {
       if (complete && !named.contains(e.name)) {
@@ -154,23 +164,16 @@
     release(now, true);
   }
 
-  private void restart(long now, Engine e, EngineInfo entry) {
+  private Engine started(long now, EngineInfo entry) {
+    Engine e = new Engine(entry.name());
     Kind kind = entry.kind() < settings.kinds().size() ? settings.kinds().get(entry.kind()) : new Kind(0, 0);
     e.cores = kind.cores() > 0 ? kind.cores() : Math.max(1, entry.weight());
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
-    e.strain = 0;
     e.lastSign = now;
-    for (Attempt a : new ArrayList<>(e.out)) {
-      lose(now, a, false); // what the old process ran is gone
-    }
-    e.errors = 0;
-    e.troubles = 0;
-    e.restUntil = now;
-    e.warm.clear();
-    e.heldGroups.clear();
     e.coldWork = new SlidingSum(settings.rules().fallTime());
     e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
+    return e;
   }
 
   private double mostThreads(Engine e) {
@@ -197,6 +200,10 @@
     QueryRecord q = new QueryRecord(query, kind, taken++, now, now + time);
     queries.put(query.id(), q);
     takenInSpan.add(now, 1);
+    takenLately.add(now, 1);
+    probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
+    tellCredit = Math.min(tellCredit + TELL_SHARE, settings.gateways());
+    meanWorth = average(meanWorth, kind.worth(), (int) taken);
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
@@ -205,6 +212,10 @@
     }
     q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
+    if (itsTurn && ask(now, q)) {
+      held.put(q.number, q); // until the reports are in
+      return;
+    }
     Engine engine = itsTurn ? pick(now, q) : null;
     if (engine != null && seconds(time) >= estimate(q, engine.ratio)) {
       send(now, q, engine);
@@ -401,8 +412,42 @@
         && now < q.firstRunAt + q.kind.keyWindow() - 2 * settings.tick();
   }
 
+  /**
+   * Asks two drawn engines how they are, for a query worth more than most: where a gateway has too few queries
+   * to keep the reports of all engines fresh, it would else choose blindly. The query is held meanwhile.
+   */
+  private boolean ask(long now, QueryRecord q) {
+    if (reportsKept(now) || q.kind.worth() < meanWorth || probeCredit < 2) {
+      return false;
+    }
+    List<Engine> drawn = drawTwo(candidates(now, q));
+    for (Engine e : drawn) {
+      probe(now, e);
+    }
+    q.asked.addAll(drawn);
+    q.askedUntil = now + ASK_WAIT;
+    return !drawn.isEmpty();
+  }
+
+  private boolean asking(long now, QueryRecord q) {
+    return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
+  }
+
+  /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
+  private boolean reportsKept(long now) {
+    return !settings.limits().probes() || !settings.traits().reports()
+        || takenLately.sum(now) * PROBE_SHARE >= engines.size();
+  }
+
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
+    List<Engine> asked = q.asked.stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
+    asked = preferred(asked, e -> !e.probing); // one that has not answered in time is busy
+    List<Engine> drawn = asked.isEmpty() ? drawTwo(candidates(now, q)) : asked;
+    return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
+  }
+
+  private List<Engine> candidates(long now, QueryRecord q) {
     List<Engine> draw = new ArrayList<>();
     for (Engine e : engines.values()) {
       if (open(now, q, e) && hasRoom(now, q, e)) {
@@ -411,15 +456,16 @@
     }
     draw = preferred(draw, e -> !q.triedOn(e));
     boolean join = q.kind.load() && holdsTooMuch(now, q);
-    draw = preferred(draw, e -> heldByLoad(now, q, e) == join);
-    if (draw.size() < 2) {
-      return draw.isEmpty() ? null : draw.get(0);
+    return preferred(draw, e -> heldByLoad(now, q, e) == join);
+  }
+
+  private List<Engine> drawTwo(List<Engine> draw) {
+    if (draw.size() <= 2) {
+      return draw;
     }
     int first = random.nextInt(draw.size());
     int second = random.nextInt(draw.size() - 1);
-    Engine a = draw.get(first);
-    Engine b = draw.get(second < first ? second : second + 1);
-    return load(now, q, a) <= load(now, q, b) ? a : b;
+    return List.of(draw.get(first), draw.get(second < first ? second : second + 1));
   }
 
   private static List<Engine> preferred(List<Engine> engines, Predicate<Engine> wanted) {
@@ -479,6 +525,7 @@
     q.attempts.add(a);
     q.out++;
     e.add(a);
+    q.asked.clear();
     e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
@@ -676,6 +723,9 @@
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
+      if (asking(now, q)) {
+        continue;
+      }
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
         q.heldUntil = holdUntil(now, q);
@@ -789,8 +839,15 @@
       }
     }
     boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
-    if (settings.limits().probes() && settings.traits().reports() && !e.probing
+    if (settings.limits().probes() && settings.traits().reports() && reportsKept(now)
         && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP)) {
+      probe(now, e);
+    }
+  }
+
+  private void probe(long now, Engine e) {
+    if (!e.probing) {
+      probeCredit--;
       e.probing = true;
       e.probedAt = now;
       actions.probe(e.name);
@@ -805,6 +862,7 @@
     }
     e.probing = false;
     noteReport(now, e, answered ? report : null);
+    release(now, false);
   }
 
   private void noteReport(long now, Engine e, Report report) {
@@ -831,8 +889,11 @@
 
   /** Tells peers of a group held or free again; the mark fades by itself where a message is lost. */
   private void tellPeers(String word, QueryRecord q, Engine e) {
-    if (q.kind.load() && settings.limits().peers() && settings.gateways() > 1) {
-      actions.tell((word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8));
+    byte[] message = (word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8);
+    double price = message.length / FULL_MESSAGE * (settings.gateways() - 1);
+    if (q.kind.load() && settings.limits().peers() && price > 0 && price <= tellCredit) {
+      tellCredit -= price;
+      actions.tell(message);
     }
   }
 
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -40,6 +40,9 @@
   public long lastSign;
   public long coldUntil;
   public SlidingSum coldWork;
+  /** When the next turn at the cold engine is counted from, and the part of it still to be waited. */
+  public long coldFrom;
+  public double coldPhase;
 
   public Report report;
   public long reportAt;
--- a/src/main/java/reachloom/state/TokenBucket.java
+++ b/src/main/java/reachloom/state/TokenBucket.java
@@ -8,10 +8,10 @@
   private long filledAt;
   private boolean filled;
 
-  /** A bucket of that rate which holds what so many seconds bring; rate 0 sets no limit. */
-  public TokenBucket(double perSecond, double seconds) {
+  /** A bucket of that rate and size; rate 0 sets no limit. */
+  public TokenBucket(double perSecond, double most) {
     this.perSecond = perSecond;
-    this.most = Math.max(1, perSecond * seconds);
+    this.most = most;
   }
 
   /** Takes a token; false where there is none. */
