--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -45,6 +45,8 @@
   private static final long PRESSURE_HOLD = 2_000 * MILLISECOND; // the bound binds on after a sign
   private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
+  private static final double POOL_SIGNS = 0.5; // share of the latest signs that tell of a pressed pool
+  private static final double SIGN_WEIGHT = 0.1; // of the newest sign: a gateway sees a few a second
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
   // The estimate.
@@ -103,6 +105,8 @@
   private double probeCredit;
   private double tellCredit;
   private double meanWorth;
+  private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
+  private double poolSigns;
   private boolean loadsHoldUp;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
@@ -161,6 +165,10 @@
       }
     }
     engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
+    List<Engine> up = engines.values().stream().filter(e -> e.state == EngineState.UP).toList();
+    pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
+    pool.memoryMb = up.stream().mapToDouble(e -> e.memoryMb).sum();
+    pool.bound = pool.bound > 0 ? Math.min(pool.bound, mostThreads(pool)) : mostThreads(pool);
     release(now, true);
   }
 
@@ -238,6 +246,7 @@
     for (Engine e : engines.values()) {
       bound += open(now, q, e) ? e.bound : 0;
     }
+    bound = now < pool.pressedUntil ? Math.min(bound, pool.bound) : bound;
     return work / Math.max(bound, q.kind.threads()) + keyWait(q, ratio);
   }
 
@@ -316,6 +325,7 @@
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
     noteStrain(e, time / aim, work);
+    noteStrain(pool, time / aim, work);
   }
 
   private double average(double mean, double value, int count) {
@@ -330,9 +340,8 @@
     e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
   }
 
-  /** Cuts the bound towards what is out there while an engine is pressed, lets it grow back when calm. */
-  private void moveBound(long now, Engine e) {
-    boolean pressed = pressed(now, e);
+  /** Cuts the bound towards what is out there under pressure, lets it grow back when calm. */
+  private void moveBound(long now, Engine e, boolean pressed) {
     if (pressed) {
       e.pressedUntil = now + PRESSURE_HOLD;
     }
@@ -350,23 +359,39 @@
     }
   }
 
+  /** A sign from any engine tells of the pool: a gateway with few queries learns too little of each one. */
+  private void notePool(boolean pressed) {
+    poolSigns += SIGN_WEIGHT * ((pressed ? 1 : 0) - poolSigns);
+  }
+
   /** The three signs of pressure: slow latency, a busy report, a full refusal. */
   private boolean pressed(long now, Engine e) {
-    boolean busy = e.report != null && now - e.reportAt < REPORT_AGE
-        && (e.report.util() > BUSY || e.report.queue() >= 1 || e.report.memoryShare() > BUSY
-            || e.report.diskShare() > BUSY);
-    return e.strain > SLOW || busy || now < e.fullUntil;
+    return e.strain > SLOW || now < e.fullUntil || now - e.reportAt < REPORT_AGE && busy(e.report);
+  }
+
+  private static boolean busy(Report r) {
+    return r != null && (r.util() > BUSY || r.queue() >= 1 || r.memoryShare() > BUSY || r.diskShare() > BUSY);
   }
 
-  /** The bound binds only under pressure; memory that would page or make others wait counts as room, too. */
+  /** No room where the query would stand still behind loads, or pile up there. */
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
-    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
-    boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
     int line = loadsThere(now, q, e);
-    boolean standsStill = q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE;
-    double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
-    boolean small = dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
-    return (fits || small) && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
+    return !(q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE) && fits(now, q, e);
+  }
+
+  /**
+   * The bound binds only under pressure; memory that would page or make others wait counts as room, too. The
+   * pool's share binds beside that of each engine: at each of many engines every gateway may have one query.
+   */
+  private boolean fits(long now, QueryRecord q, Engine e) {
+    boolean pressed = now < e.pressedUntil;
+    if (e == pool && !pressed) {
+      return true;
+    }
+    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
+    boolean memory = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share
+        || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
+    return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
   // ---- The choice of engine ----
@@ -417,7 +442,7 @@
    * to keep the reports of all engines fresh, it would else choose blindly. The query is held meanwhile.
    */
   private boolean ask(long now, QueryRecord q) {
-    if (reportsKept(now) || q.kind.worth() < meanWorth || probeCredit < 2) {
+    if (reportsKept(now) || !fits(now, q, pool) || q.kind.worth() < meanWorth || probeCredit < 2) {
       return false;
     }
     List<Engine> drawn = drawTwo(candidates(now, q));
@@ -441,6 +466,9 @@
 
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
+    if (!fits(now, q, pool)) {
+      return null;
+    }
     List<Engine> asked = q.asked.stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
     asked = preferred(asked, e -> !e.probing); // one that has not answered in time is busy
     List<Engine> drawn = asked.isEmpty() ? drawTwo(candidates(now, q)) : asked;
@@ -526,6 +554,7 @@
     q.out++;
     e.add(a);
     q.asked.clear();
+    pool.add(a);
     e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
@@ -643,10 +672,14 @@
     Attempt a = q.attempts.get(end.attempt());
     settle(now, q, a, end);
     judge(now, a, end);
+    if (end.outcome() == Outcome.SERVED || end.outcome() == Outcome.FULL) {
+      notePool(end.outcome() == Outcome.FULL);
+    }
     if (end.outcome() == Outcome.SERVED) {
       learn(now, a, end);
     } else if (end.outcome() == Outcome.TIMEOUT) {
       noteStrain(a.engine, 1, cost(q));
+      noteStrain(pool, 1, cost(q));
     }
     if (end.over()) {
       q.over = true;
@@ -664,6 +697,7 @@
     q.out--;
     tellPeers(FREE, q, e);
     e.remove(a);
+    pool.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
     }
@@ -812,8 +846,9 @@
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
     for (Engine e : engines.values()) {
       watchOver(now, e);
-      moveBound(now, e);
+      moveBound(now, e, pressed(now, e));
     }
+    moveBound(now, pool, pool.strain > SLOW || poolSigns > POOL_SIGNS);
     release(now, true);
     actions.timer(TICK, TICK_TOKEN);
   }
@@ -821,6 +856,7 @@
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
+    pool.remove(a);
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
     abandon(now, a);
   }
@@ -869,6 +905,7 @@
     if (report != null) {
       e.report = report;
       e.reportAt = now;
+      notePool(busy(report));
     }
   }
 
