After a stall of the gateway, silence counts anew and the pile-up's reports are not read

Cause: after a stall of 1.4 to 2 s every attempt and engine looked silent, so all was cancelled and every engine rested.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -100,6 +100,7 @@
   private Settings settings;
   private SplittableRandom random;
   private long lastTick;
+  private long stalledUntil;
   private long taken;
   private double crossing;
   private double probeCredit;
@@ -754,6 +755,7 @@
 
   /** Releases held queries, oldest first; a query that waits for its key holds up nobody else. */
   private void release(long now, boolean all) {
+    noteStall(now);
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
@@ -837,11 +839,7 @@
       actions.watch();
       return;
     }
-    long stall = now - lastTick - 2 * TICK;
-    if (stall > 0) {
-      // After a stall of this gateway the line has aged unseen: its holding time counts anew from here.
-      held.values().forEach(q -> q.heldUntil += stall);
-    }
+    noteStall(now);
     lastTick = now;
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
     for (Engine e : engines.values()) {
@@ -853,6 +851,19 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
+  /**
+   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time and
+   * silence count anew from here, and what comes in with the pile-up tells of no present load.
+   */
+  private void noteStall(long now) {
+    long stall = now - lastTick - 2 * TICK;
+    if (stall > 0) {
+      held.values().forEach(q -> q.heldUntil += stall);
+      stalledUntil = now;
+      lastTick = now;
+    }
+  }
+
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
@@ -864,10 +875,11 @@
   /** Finds silent engines, and probes those that report on being asked. */
   private void watchOver(long now, Engine e) {
     double period = settings.traits().notePeriod();
-    boolean silent = now - e.lastSign > SILENT_NOTES * period;
-    boolean talks = now - e.lastSign < period;
+    long lastSign = Math.max(e.lastSign, stalledUntil);
+    boolean silent = now - lastSign > SILENT_NOTES * period;
+    boolean talks = now - lastSign < period;
     for (Attempt a : period > 0 ? new ArrayList<>(e.out) : List.<Attempt>of()) {
-      long quiet = now - Math.max(a.sentAt, a.lastNote);
+      long quiet = now - Math.max(stalledUntil, Math.max(a.sentAt, a.lastNote));
       // An engine may lose single queries while it answers the rest: each attempt is judged by its own notes.
       // One that waits for memory tells so once and is then quiet until it runs.
       if (quiet > (talks ? LOST_NOTES : SILENT_NOTES) * period && !(talks && a.inLine)) {
@@ -902,7 +914,7 @@
   }
 
   private void noteReport(long now, Engine e, Report report) {
-    if (report != null) {
+    if (report != null && now > stalledUntil) {
       e.report = report;
       e.reportAt = now;
       notePool(busy(report));
