--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -82,6 +82,8 @@
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
+  private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
+  private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
@@ -91,6 +93,7 @@
   private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
   private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
+  private static final double TENANT_LEAST = 5; // queries at once: fewer come together by chance
   private static final String HELD = "held"; // message to peers: a load holds a group there
   private static final String FREE = "free"; // ... and has ended
   private static final long TICK_TOKEN = 0;
@@ -133,7 +136,7 @@
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
-    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), Math.max(1, t.quotaPerSecond() / s.gateways() * TENANT_BURST))));
+    s.tenants().forEach(t -> tenants.add(bucket(t.quotaPerSecond() / s.gateways())));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
     loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     crossing = s.crossPrice() * CROSS_WEIGHT;
@@ -146,6 +149,10 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
+  private static TokenBucket bucket(double perSecond) {
+    return new TokenBucket(perSecond, Math.max(TENANT_LEAST, perSecond * TENANT_BURST));
+  }
+
   @Override
   public void engines(long now, boolean complete, List<EngineInfo> entries) {
     Set<String> named = new LinkedHashSet<>();
@@ -180,6 +187,8 @@
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.lastSign = now;
+    e.coldFrom = now;
+    e.coldPhase = random.nextDouble();
     e.coldWork = new SlidingSum(settings.rules().fallTime());
     e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
     return e;
@@ -407,7 +416,22 @@
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
         && repeatAllowed(now, q, e)
-        && (now >= e.coldUntil || e.coldWork.sum(now) + coldCost(q) <= coldBudget(now, e));
+        && (now >= e.coldUntil || coldAllowed(now, q, e));
+  }
+
+  /**
+   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: all gateways wait the
+   * time in which the budget of them all holds one from each, the first time a random part of it.
+   */
+  private boolean coldAllowed(long now, QueryRecord q, Engine e) {
+    double own = coldBudget(now, e);
+    return coldCost(q) <= own ? e.coldWork.sum(now) + coldCost(q) <= own
+        : coldCost(q) <= own * settings.gateways() * COLD_SMALL
+            && now >= e.coldFrom + e.coldPhase * coldTurn(now, q, e);
+  }
+
+  private double coldTurn(long now, QueryRecord q, Engine e) {
+    return settings.rules().fallTime() * coldCost(q) / (coldBudget(now, e) * COLD_PACE);
   }
 
   /** Work that this gateway may send to a cold engine within the rule's time; taken to warm up late. */
@@ -559,6 +583,8 @@
     e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
+      e.coldFrom = now + (long) coldTurn(now, q, e);
+      e.coldPhase = 0;
     }
     if (e.out.size() == 1) {
       e.lastSign = now;
