--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -2,7 +2,6 @@
 
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -71,8 +70,6 @@
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final double PROBE_SHARE = 0.5; // probes for each query taken, at most: each costs
-  private static final double TELL_SHARE = 0.2; // full messages for each query taken, all receivers counted
-  private static final double FULL_MESSAGE = 256; // bytes that a message is priced by
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
@@ -85,17 +82,11 @@
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
   private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
-  private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
-  private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
-  private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
-  private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
   private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
   private static final double TENANT_LEAST = 5; // queries at once: fewer come together by chance
-  private static final String HELD = "held"; // message to peers: a load holds a group there
-  private static final String FREE = "free"; // ... and has ended
   private static final long TICK_TOKEN = 0;
   private static final long WATCH_TOKEN = 1;
 
@@ -107,18 +98,15 @@
   private long taken;
   private double crossing;
   private double probeCredit;
-  private double tellCredit;
   private double meanWorth;
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
   private double poolSigns;
-  private boolean loadsHoldUp;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
   private final Map<String, KeyLine> keyLines = new LinkedHashMap<>();
   private final List<ClassRecord> classes = new ArrayList<>();
   private final List<TokenBucket> tenants = new ArrayList<>();
-  private final Set<Integer> boundKinds = new LinkedHashSet<>();
   private final SlidingSum takenLately = new SlidingSum(REPORT_AGE);
   private SlidingSum takenInSpan;
   private SlidingSum extrasInSpan;
@@ -135,10 +123,8 @@
     settings = s;
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
-    s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
     s.tenants().forEach(t -> tenants.add(bucket(t.quotaPerSecond() / s.gateways())));
     classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
-    loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     crossing = s.crossPrice() * CROSS_WEIGHT;
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
@@ -220,7 +206,6 @@
     takenInSpan.add(now, 1);
     takenLately.add(now, 1);
     probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
-    tellCredit = Math.min(tellCredit + TELL_SHARE, settings.gateways());
     meanWorth = average(meanWorth, kind.worth(), (int) taken);
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
@@ -401,6 +386,10 @@
     double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
     boolean memory = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share
         || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
+    if (e != pool && now - e.reportAt < REPORT_AGE && busy(e.report)
+        && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
+      return false; // it says itself that it is full, and our part of it holds no further query
+    }
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
@@ -479,6 +468,15 @@
     return !drawn.isEmpty();
   }
 
+  /** Where both of those asked are full, two others are asked. */
+  private boolean askOthers(long now, QueryRecord q) {
+    boolean full = !q.asked.isEmpty() && q.asked.stream().noneMatch(e -> open(now, q, e) && hasRoom(now, q, e));
+    if (full) {
+      q.asked.clear();
+    }
+    return full && ask(now, q);
+  }
+
   private boolean asking(long now, QueryRecord q) {
     return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
   }
@@ -508,8 +506,7 @@
       }
     }
     draw = preferred(draw, e -> !q.triedOn(e));
-    boolean join = q.kind.load() && holdsTooMuch(now, q);
-    return preferred(draw, e -> heldByLoad(now, q, e) == join);
+    return preferred(draw, e -> !heldByLoad(now, q, e));
   }
 
   private List<Engine> drawTwo(List<Engine> draw) {
@@ -526,28 +523,15 @@
     return some.isEmpty() ? engines : some;
   }
 
-  /** Where others stand still behind loads, those of one group must not hold it everywhere at once. */
-  private boolean holdsTooMuch(long now, QueryRecord q) {
-    long up = engines.values().stream().filter(e -> e.state == EngineState.UP).count();
-    long holding = engines.values().stream().filter(e -> heldByLoad(now, q, e)).count();
-    return loadsHoldUp && holding >= up * LOAD_ENGINES;
-  }
-
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
-    if (e.warm.contains(q.query.group())) {
-      load *= WARM_DISCOUNT;
-    }
     if (e.info.zone() != settings.zone()) {
       load *= 1 + crossing;
     }
-    if (q.kind.kinds().isEmpty() && boundKinds.contains(e.info.kind())) {
-      load *= BOUND_KIND;
-    }
     return load;
   }
 
@@ -573,14 +557,12 @@
       extrasInSpan.add(now, 1);
     }
     setTerms(q);
-    tellPeers(HELD, q, e);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
     e.add(a);
     q.asked.clear();
     pool.add(a);
-    e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
       e.coldFrom = now + (long) coldTurn(now, q, e);
@@ -722,7 +704,6 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
-    tellPeers(FREE, q, e);
     e.remove(a);
     pool.remove(a);
     if (end.outcome().mayHaveRun) {
@@ -785,7 +766,7 @@
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
-      if (asking(now, q)) {
+      if (asking(now, q) || itsTurn(now, q) && now < q.heldUntil && askOthers(now, q)) {
         continue;
       }
       boolean itsTurn = itsTurn(now, q);
@@ -949,27 +930,7 @@
 
   @Override
   public void heard(long now, int peer, byte[] message) {
-    // Which groups a peer's loads hold cannot be seen from here before a query stands still behind one.
-    String[] words = new String(message, StandardCharsets.UTF_8).split(" ");
-    Engine e = words.length == 3 ? engines.get(words[1]) : null;
-    if (e != null && words[2].matches("\\d{1,9}")) {
-      int group = Integer.parseInt(words[2]);
-      if (words[0].equals(HELD)) {
-        e.heldGroups.put(group, now + LOAD_MARK);
-      } else {
-        e.heldGroups.remove(group);
-      }
-    }
-  }
-
-  /** Tells peers of a group held or free again; the mark fades by itself where a message is lost. */
-  private void tellPeers(String word, QueryRecord q, Engine e) {
-    byte[] message = (word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8);
-    double price = message.length / FULL_MESSAGE * (settings.gateways() - 1);
-    if (q.kind.load() && settings.limits().peers() && price > 0 && price <= tellCredit) {
-      tellCredit -= price;
-      actions.tell(message);
-    }
+    // Hints among gateways cost more than they earned, see docs/standing.md.
   }
 
   private static double seconds(long time) {
