--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -69,7 +69,7 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
-  private static final double PROBE_SHARE = 1; // probes for each query taken, at most: each costs
+  private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
@@ -173,11 +173,15 @@
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.lastSign = now;
+    beCold(now, e, entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0);
+    return e;
+  }
+
+  private void beCold(long now, Engine e, long until) {
+    e.coldUntil = until;
     e.coldFrom = now;
     e.coldPhase = random.nextDouble();
     e.coldWork = new SlidingSum(settings.rules().fallTime());
-    e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
-    return e;
   }
 
   private double mostThreads(Engine e) {
@@ -723,6 +727,9 @@
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
+      if (end.outcome() != Outcome.ERROR && now >= e.coldUntil) {
+        beCold(now, e, now + settings.rules().coldTime()); // it may restart, which the list tells late
+      }
       noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
