--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -69,6 +69,7 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
+  private static final double CLOCK_SHARE = 0.25; // engines for each query taken lately that a clock may probe
   private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
@@ -79,6 +80,7 @@
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
+  private static final long SUSPECT = 5_000 * MILLISECOND; // a restart shows in the list after such a time
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
   private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
@@ -177,6 +179,14 @@
     return e;
   }
 
+  /** An engine lost or out of reach may come back cold, which the list tells seconds later. */
+  private void suspect(long now, Engine e) {
+    if (now >= e.coldUntil) {
+      beCold(now, e, now);
+    }
+    e.coldUntil = Math.max(e.coldUntil, now + SUSPECT);
+  }
+
   private void beCold(long now, Engine e, long until) {
     e.coldUntil = until;
     e.coldFrom = now;
@@ -488,7 +498,7 @@
   /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
   private boolean reportsKept(long now) {
     return !settings.limits().probes() || !settings.traits().reports()
-        || takenLately.sum(now) * PROBE_SHARE >= engines.size();
+        || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
   }
 
   /** The less loaded of two drawn engines with room; null where none has. */
@@ -727,8 +737,8 @@
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
-      if (end.outcome() != Outcome.ERROR && now >= e.coldUntil) {
-        beCold(now, e, now + settings.rules().coldTime()); // it may restart, which the list tells late
+      if (end.outcome() != Outcome.ERROR) {
+        suspect(now, e);
       }
       noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
@@ -882,6 +892,9 @@
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
     pool.remove(a);
+    if (silent) {
+      suspect(now, a.engine);
+    }
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
     abandon(now, a);
   }
@@ -917,13 +930,21 @@
   }
 
   @Override
-  public void probed(long now, String engine, boolean answered, Report report) {
+  public void probed(long now, String engine, Outcome outcome, Report report) {
     Engine e = engines.get(engine);
     if (e == null) {
       return;
     }
     e.probing = false;
-    noteReport(now, e, answered ? report : null);
+    if (outcome == Outcome.SERVED) {
+      noteReport(now, e, report);
+    } else {
+      e.fullUntil = now + FULL_REST;
+      e.restUntil = Math.max(e.restUntil, e.fullUntil);
+      if (outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
+        suspect(now, e);
+      }
+    }
     release(now, false);
   }
 
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -173,7 +173,7 @@
       case "Left" -> events.leave(now, text(item, "handle", name));
       case "DeadlineHit" -> events.wake(now, item.path("nonce").asLong());
       case "ProbeResult" -> events.probed(now, text(item, "node", name),
-          "S".equals(item.path("ending").asText()), report(item.path("telemetry")));
+          OUTCOMES.getOrDefault(item.path("ending").asText(), Outcome.ERROR), report(item.path("telemetry")));
       case "NeighbourSays" ->
           events.heard(now, item.path("neighbour").asInt(), bytes(item.path("raw").asText()));
       default -> {
