--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -229,7 +229,7 @@
     }
     q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
-    if (itsTurn && ask(now, q)) {
+    if (itsTurn && seconds(time - 2 * TICK) > estimate(q, meanRatio()) && ask(now, q)) {
       held.put(q.number, q); // until the reports are in
       return;
     }
@@ -783,16 +783,16 @@
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
-      if (asking(now, q) || itsTurn(now, q) && now < q.heldUntil && askOthers(now, q)) {
-        continue;
-      }
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
         q.heldUntil = holdUntil(now, q);
       }
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
-      boolean late = now + (long) (left * SECOND) > q.deadline;
+      boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
+      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && askOthers(now, q))) {
+        continue;
+      }
       Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
