--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -69,7 +69,7 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
-  private static final double CLOCK_SHARE = 0.25; // engines for each query taken lately that a clock may probe
+  private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
   private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
