--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -80,7 +80,7 @@
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
-  private static final long SUSPECT = 0 * MILLISECOND; // a restart shows in the list after such a time
+  private static final long SUSPECT = 5_000 * MILLISECOND; // a restart shows in the list after such a time
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
   private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
@@ -941,7 +941,7 @@
     } else {
       e.fullUntil = now + FULL_REST;
       e.restUntil = Math.max(e.restUntil, e.fullUntil);
-      if (outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
+      if (outcome != Outcome.FULL) {
         suspect(now, e);
       }
     }
