--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -45,6 +45,8 @@
   private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
   private static final double POOL_SIGNS = 0.5; // share of the latest signs that tell of a pressed pool
+  private static final double CALM_SIGNS = 0.1; // ... and of a calm one
+  private static final long CALM_STRETCH = 2; // times as long between probes while the pool is calm
   private static final double SIGN_WEIGHT = 0.1; // of the newest sign: a gateway sees a few a second
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
@@ -368,6 +370,11 @@
     }
   }
 
+  /** Hardly a sign of pressure anywhere: looking around costs more than it earns. */
+  private boolean calm() {
+    return poolSigns < CALM_SIGNS && pool.strain < CALM;
+  }
+
   /** A sign from any engine tells of the pool: a gateway with few queries learns too little of each one. */
   private void notePool(boolean pressed) {
     poolSigns += SIGN_WEIGHT * ((pressed ? 1 : 0) - poolSigns);
@@ -470,7 +477,7 @@
    * to keep the reports of all engines fresh, it would else choose blindly. The query is held meanwhile.
    */
   private boolean ask(long now, QueryRecord q) {
-    if (reportsKept(now) || !fits(now, q, pool) || probeCredit < 2) {
+    if (reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool) || probeCredit < 2) {
       return false;
     }
     List<Engine> drawn = drawTwo(candidates(now, q));
@@ -915,7 +922,7 @@
     }
     boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
     if (settings.limits().probes() && settings.traits().reports() && reportsKept(now)
-        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP)) {
+        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP) * (calm() ? CALM_STRETCH : 1)) {
       probe(now, e);
     }
   }
