--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -84,13 +84,12 @@
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
   private static final long SUSPECT = 5_000 * MILLISECOND; // a restart shows in the list after such a time
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
-  private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
+  private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
-  private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
-  private static final double TENANT_LEAST = 5; // queries at once: fewer come together by chance
+  private static final double TENANT_LEAST = 5; // queries of a tenant at once, or those of a second
   private static final long TICK_TOKEN = 0;
   private static final long WATCH_TOKEN = 1;
 
@@ -100,7 +99,7 @@
   private long lastTick;
   private long stalledUntil;
   private long taken;
-  private double crossing;
+  private int widest;
   private double probeCredit;
   private double meanWorth;
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
@@ -127,9 +126,9 @@
     settings = s;
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
-    s.tenants().forEach(t -> tenants.add(bucket(t.quotaPerSecond() / s.gateways())));
-    classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
-    crossing = s.crossPrice() * CROSS_WEIGHT;
+    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
+    widest = s.classes().stream().mapToInt(QueryClass::threads).max().orElse(1);
+    meanWorth = s.classes().stream().mapToDouble(QueryClass::worth).average().orElse(0);
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
     if (s.subscribe()) {
@@ -139,10 +138,6 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
-  private static TokenBucket bucket(double perSecond) {
-    return new TokenBucket(perSecond, Math.max(TENANT_LEAST, perSecond * TENANT_BURST));
-  }
-
   @Override
   public void engines(long now, boolean complete, List<EngineInfo> entries) {
     Set<String> named = new LinkedHashSet<>();
@@ -197,11 +192,7 @@
   }
 
   private double mostThreads(Engine e) {
-    return Math.max(widest(), e.cores * BOUND_THREADS / settings.gateways());
-  }
-
-  private int widest() {
-    return classes.stream().mapToInt(c -> c.kind.threads()).max().orElse(1);
+    return Math.max(widest, e.cores * BOUND_THREADS / settings.gateways());
   }
 
   @Override
@@ -222,7 +213,6 @@
     takenInSpan.add(now, 1);
     takenLately.add(now, 1);
     probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
-    meanWorth = average(meanWorth, kind.worth(), (int) taken);
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
@@ -277,7 +267,7 @@
   /** Seconds that the query takes on an engine of that ratio. */
   private double estimate(QueryRecord q, double ratio) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.meanTime) * ratio;
+    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.time.value) * ratio;
   }
 
   /** Seconds of work of all its threads, as far as it is known. */
@@ -287,12 +277,12 @@
 
   private double usualCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
+    return c.cost.count > 0 ? c.cost.value : seconds(c.kind.deadline()) * UNKNOWN_COST;
   }
 
   private double memory(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor.value : c.memory.value;
     return settings.traits().grants() ? need * GRANT_MARGIN : need;
   }
 
@@ -304,10 +294,8 @@
   private void learnCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
     if (q.query.cost() > 0) {
-      c.meanCost = average(c.meanCost, seconds(q.query.cost()), c.costs++);
-      if (c.served == 0) {
-        c.factor = c.kind.aim() / SECOND / c.meanCost; // starts at the aim over the usual cost
-      }
+      c.cost.add(seconds(q.query.cost()), LEARN_WEIGHT);
+      c.factor = c.served.count > 0 ? c.factor : c.kind.aim() / SECOND / c.cost.value; // the design's start
     }
   }
 
@@ -318,37 +306,32 @@
     Engine e = a.engine;
     double time = seconds(end.spent());
     if (end.costMs() > 0 && q.query.cost() <= 0) {
-      c.meanCost = average(c.meanCost, end.costMs() / 1e3, c.costs++);
+      c.cost.add(end.costMs() / 1e3, LEARN_WEIGHT);
     }
     if (end.memoryMb() > 0) {
-      c.meanMemory = average(c.meanMemory, end.memoryMb(), c.memories);
-      if (q.query.memoryMb() > 0) {
-        c.memoryFactor = average(c.memoryFactor, end.memoryMb() / q.query.memoryMb(), c.memories);
-      }
-      c.memories++;
+      c.memory.add(end.memoryMb(), LEARN_WEIGHT);
+      double estimated = q.query.memoryMb();
+      c.memoryFactor.add(estimated > 0 ? end.memoryMb() / estimated : 1, LEARN_WEIGHT);
     }
-    c.meanTime = average(c.meanTime, time / e.ratio, c.served);
-    c.servedCost = average(c.servedCost, cost(q), c.served++);
-    c.factor = c.meanTime / c.servedCost;
+    c.time.add(time / e.ratio, LEARN_WEIGHT);
+    c.served.add(cost(q), LEARN_WEIGHT);
+    c.factor = c.time.value / c.served.value;
     double ratio = time / Math.max(a.predicted, 1e-3);
     ratio = e.ratio + RATIO_WEIGHT * (ratio - e.ratio);
     e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
     noteStrain(e, time / aim, work);
-    noteStrain(pool, time / aim, work);
-  }
-
-  private double average(double mean, double value, int count) {
-    return mean + Math.max(LEARN_WEIGHT, 1.0 / (count + 1)) * (value - mean);
   }
 
   // ---- The bound, and whether it binds ----
 
   /** Averages what share of its aim a query took; long queries tell more than short ones. */
   private void noteStrain(Engine e, double strain, double work) {
-    double usual = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
-    e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
+    double usual = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
+    double weight = RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3));
+    e.strain += weight * (strain - e.strain);
+    pool.strain += weight * (strain - pool.strain);
   }
 
   /** Cuts the bound towards what is out there under pressure, lets it grow back when calm. */
@@ -361,7 +344,7 @@
     }
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
-      double least = Math.max(widest(), e.cores * floor / settings.gateways());
+      double least = Math.max(widest, e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
       e.boundChangedAt = now;
     } else if (e.strain < CALM && e.bound < mostThreads(e)) {
@@ -404,13 +387,13 @@
     if (e == pool && !pressed) {
       return true;
     }
-    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
-    boolean memory = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share
-        || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
-    if (e != pool && now - e.reportAt < REPORT_AGE && busy(e.report)
+    if ( now - e.reportAt < REPORT_AGE && busy(e.report)
         && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
       return false; // it says itself that it is full, and our part of it holds no further query
     }
+    boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
+        || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways()
+        || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
@@ -418,11 +401,7 @@
 
   /** Whether the rules and the engine's health leave it open to the query. */
   private boolean open(long now, QueryRecord q, Engine e) {
-    return permitted(now, q, e) && now >= e.restUntil;
-  }
-
-  private boolean permitted(long now, QueryRecord q, Engine e) {
-    return e.state == EngineState.UP
+    return e.state == EngineState.UP && now >= e.restUntil
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
         && repeatAllowed(now, q, e)
@@ -430,8 +409,8 @@
   }
 
   /**
-   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: all gateways wait the
-   * time in which the budget of them all holds one from each, the first time a random part of it.
+   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: it waits the time
+   * in which the budget of them all holds one from each gateway, the first time a random part of it.
    */
   private boolean coldAllowed(long now, QueryRecord q, Engine e) {
     double own = coldBudget(now, e);
@@ -473,49 +452,41 @@
   }
 
   /**
-   * Asks two drawn engines how they are, for a query worth more than most: where a gateway has too few queries
-   * to keep the reports of all engines fresh, it would else choose blindly. The query is held meanwhile.
+   * Asks two drawn engines how they are, and two others where both are full: a gateway with too few queries
+   * to keep the reports of all engines fresh would else choose blindly. The query is held meanwhile.
    */
   private boolean ask(long now, QueryRecord q) {
-    if (reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool) || probeCredit < 2) {
+    boolean found = q.asked.stream().anyMatch(e -> open(now, q, e) && hasRoom(now, q, e));
+    if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
+        || probeCredit < 2) {
       return false;
     }
-    List<Engine> drawn = drawTwo(candidates(now, q));
-    for (Engine e : drawn) {
-      probe(now, e);
-    }
-    q.asked.addAll(drawn);
+    q.asked.clear();
+    q.asked.addAll(drawTwo(candidates(now, q)));
+    q.asked.forEach(e -> probe(now, e));
     q.askedUntil = now + ASK_WAIT;
-    return !drawn.isEmpty();
-  }
-
-  /** Where both of those asked are full, two others are asked. */
-  private boolean askOthers(long now, QueryRecord q) {
-    boolean full = !q.asked.isEmpty() && q.asked.stream().noneMatch(e -> open(now, q, e) && hasRoom(now, q, e));
-    if (full) {
-      q.asked.clear();
-    }
-    return full && ask(now, q);
+    return !q.asked.isEmpty();
   }
 
   private boolean asking(long now, QueryRecord q) {
     return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
   }
 
+  private boolean reportsTold() {
+    return settings.limits().probes() && settings.traits().reports();
+  }
+
   /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
   private boolean reportsKept(long now) {
-    return !settings.limits().probes() || !settings.traits().reports()
-        || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
+    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
   }
 
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
-    if (!fits(now, q, pool)) {
-      return null;
-    }
-    List<Engine> asked = q.asked.stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
-    asked = preferred(asked, e -> !e.probing); // one that has not answered in time is busy
-    List<Engine> drawn = asked.isEmpty() ? drawTwo(candidates(now, q)) : asked;
+    List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
+    // Of those asked, one that has not answered in time is busy.
+    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && !e.probing).toList();
+    List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
     return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
   }
 
@@ -551,7 +522,7 @@
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
     if (e.info.zone() != settings.zone()) {
-      load *= 1 + crossing;
+      load *= 1 + settings.crossPrice() * CROSS_WEIGHT;
     }
     return load;
   }
@@ -602,7 +573,7 @@
     Traits traits = settings.traits();
     int priority = dense(q) ? 3 : 1;
     ClassRecord c = classes.get(q.query.queryClass());
-    double grant = traits.grants() && c.memories > 0 ? memory(q) : 0;
+    double grant = traits.grants() && c.memory.count > 0 ? memory(q) : 0;
     if (traits.priorities() && priority != 1 || grant > 0) {
       actions.terms(q.query.id(), grant, priority);
     }
@@ -610,10 +581,9 @@
 
   /** True for the classes that earn clearly more for their work than the usual query. */
   private boolean dense(QueryRecord q) {
-    double worth = classes.stream().mapToDouble(c -> c.kind.worth()).average().orElse(0);
-    double cost = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
+    double cost = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.meanCost > 0 && c.kind.worth() / c.meanCost > DENSE * worth / Math.max(cost, 1e-9);
+    return c.cost.value > 0 && c.kind.worth() / c.cost.value > DENSE * meanWorth / Math.max(cost, 1e-9);
   }
 
   // ---- While an attempt is out ----
@@ -640,12 +610,12 @@
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
       if (canMove(now, a)) {
-        abandon(now, a); // it has done nothing yet, and a load takes long
+        cancel(a); // it has done nothing yet, and a load takes long
       }
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
       if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
-        abandon(now, a);
+        cancel(a);
       }
     }
   }
@@ -662,26 +632,21 @@
         && now + (long) (usual * SECOND) < a.query.deadline;
   }
 
-  /** Cancels an attempt that is worth leaving, so that the query can go elsewhere or be answered. */
-  private void abandon(long now, Attempt a) {
-    QueryRecord q = a.query;
-    if (!q.over && !q.streaming && q.kind.effect() != Effect.UNSAFE) {
-      cancel(a);
-    }
-  }
-
+  /** Gives up an attempt of a query that is over, or that may go elsewhere or be answered. */
   private void cancel(Attempt a) {
-    if (!a.ended && !a.abandoned && settings.limits().cancel()) {
+    QueryRecord q = a.query;
+    boolean free = q.over || !q.streaming && q.kind.effect() != Effect.UNSAFE;
+    if (free && !a.ended && !a.abandoned && settings.limits().cancel()) {
       a.abandoned = true;
-      actions.cancel(a.query.query.id(), a.number);
+      actions.cancel(q.query.id(), a.number);
     }
   }
 
   /** True where another engine can take the query now, within the rules. */
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
-    return furtherAllowed(now, q) && engines.values().stream()
-        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e) && !heldByLoad(now, q, e));
+    return furtherAllowed(now, q)
+        && candidates(now, q).stream().anyMatch(e -> e != a.engine && !heldByLoad(now, q, e));
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
@@ -709,7 +674,6 @@
       learn(now, a, end);
     } else if (end.outcome() == Outcome.TIMEOUT) {
       noteStrain(a.engine, 1, cost(q));
-      noteStrain(pool, 1, cost(q));
     }
     if (end.over()) {
       q.over = true;
@@ -730,9 +694,7 @@
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
     }
-    boolean mayRunOn = end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.RESET
-        || end.outcome() == Outcome.CANCELLED;
-    if (q.keyLine != null && mayRunOn) {
+    if (q.keyLine != null && end.outcome().mayRunOn) {
       q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
     }
     noteReport(now, e, end.report());
@@ -755,12 +717,17 @@
         e.troubles = 0;
       }
     } else if (end.outcome() == Outcome.FULL) {
-      e.fullUntil = now + FULL_REST;
-      e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
-      e.bound = Math.max(widest(), Math.min(e.bound, e.threads) * BOUND_CUT);
+      noteFull(now, e);
+      e.bound = Math.max(widest, Math.min(e.bound, e.threads) * BOUND_CUT);
     }
   }
 
+  /** A full engine is left alone for a while; also one that hangs is full in the end. */
+  private void noteFull(long now, Engine e) {
+    e.fullUntil = now + FULL_REST;
+    e.restUntil = Math.max(e.restUntil, e.fullUntil);
+  }
+
   private void noteTrouble(long now, Engine e, boolean rests) {
     e.errors += ERROR_WEIGHT * (1 - e.errors);
     if (rests && now >= e.restUntil) {
@@ -797,7 +764,7 @@
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
       boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
-      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && askOthers(now, q))) {
+      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
         continue;
       }
       Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
@@ -883,8 +850,8 @@
   }
 
   /**
-   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time and
-   * silence count anew from here, and what comes in with the pile-up tells of no present load.
+   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time
+   * and silence count anew from here, and what comes in with the pile-up tells of no present load.
    */
   private void noteStall(long now) {
     long stall = now - lastTick - 2 * TICK;
@@ -903,7 +870,7 @@
       suspect(now, a.engine);
     }
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
-    abandon(now, a);
+    cancel(a);
   }
 
   /** Finds silent engines, and probes those that report on being asked. */
@@ -921,8 +888,8 @@
       }
     }
     boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
-    if (settings.limits().probes() && settings.traits().reports() && reportsKept(now)
-        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP) * (calm() ? CALM_STRETCH : 1)) {
+    long gap = (inUse ? PROBE_GAP : CALM_GAP) * (calm() ? CALM_STRETCH : 1);
+    if (e.state == EngineState.UP && now - e.probedAt >= gap && reportsTold() && reportsKept(now)) {
       probe(now, e);
     }
   }
@@ -946,11 +913,8 @@
     if (outcome == Outcome.SERVED) {
       noteReport(now, e, report);
     } else {
-      e.fullUntil = now + FULL_REST;
-      e.restUntil = Math.max(e.restUntil, e.fullUntil);
-      if (outcome != Outcome.FULL) {
-        suspect(now, e);
-      }
+      noteFull(now, e);
+      suspect(now, e);
     }
     release(now, false);
   }
@@ -963,11 +927,6 @@
     }
   }
 
-  @Override
-  public void heard(long now, int peer, byte[] message) {
-    // Hints among gateways cost more than they earned, see docs/standing.md.
-  }
-
   private static double seconds(long time) {
     return time / SECOND;
   }
--- a/src/main/java/reachloom/Decisions.java
+++ b/src/main/java/reachloom/Decisions.java
@@ -40,9 +40,6 @@
 
     /** A probe is over; {@code report} is null without one. */
     void probed(long now, String engine, Outcome outcome, Report report);
-
-    /** A message from another gateway. */
-    void heard(long now, int peer, byte[] message);
   }
 
   /** What a gateway may do. */
@@ -68,9 +65,6 @@
     /** Asks an engine how it is. */
     void probe(String engine);
 
-    /** Sends a short message to all other gateways; it may be lost. */
-    void tell(byte[] message);
-
     /** Subscribes to discovery. */
     void watch();
 
@@ -80,14 +74,18 @@
 
   /** How an attempt ended. */
   enum Outcome {
-    SERVED(true), ERROR(true), FULL(false), TIMEOUT(true), UNREACHED(false), RESET(true), CANCELLED(true),
-    NOT_SENT(false);
+    SERVED(true, false), ERROR(true, false), FULL(false, false), TIMEOUT(true, true), UNREACHED(false, false),
+    RESET(true, true), CANCELLED(true, true), NOT_SENT(false, false);
 
     /** False where the outcome proves that the attempt never ran. */
     public final boolean mayHaveRun;
 
-    Outcome(boolean mayHaveRun) {
+    /** True where the engine may still be at work on it. */
+    public final boolean mayRunOn;
+
+    Outcome(boolean mayHaveRun, boolean mayRunOn) {
       this.mayHaveRun = mayHaveRun;
+      this.mayRunOn = mayRunOn;
     }
   }
 
@@ -144,7 +142,7 @@
 
   /** What is allowed. */
   record Limits(int maxAttempts, boolean cancel, boolean probes, boolean secondCopies, boolean retryAfter,
-      long maxRetryAfter, boolean peers) {
+      long maxRetryAfter) {
   }
 
   /** Figures of the rules; {@code lookBack} 0 means that further attempts are not rationed. */
--- a/src/main/java/reachloom/state/ClassRecord.java
+++ b/src/main/java/reachloom/state/ClassRecord.java
@@ -7,19 +7,18 @@
   public final QueryClass kind;
   /** Seconds of time for a second of cost; 0 before the first cost is known. */
   public double factor;
-  /** Means: time and cost in seconds, cost of those served, memory in MB. */
-  public double meanTime;
-  public double meanCost;
-  public double servedCost;
-  public double meanMemory;
-  /** Memory needed for each MB estimated. */
-  public double memoryFactor = 1;
-  public int costs;
-  public int memories;
-  public int served;
+  /** Seconds that a query takes; stands at the aim until one was served. */
+  public final Mean time;
+  /** Seconds of work: of all queries whose cost is known, and of those served. */
+  public final Mean cost = new Mean(0);
+  public final Mean served = new Mean(0);
+  /** Memory needed, in MB, and for each MB estimated. */
+  public final Mean memory = new Mean(0);
+  public final Mean memoryFactor = new Mean(1);
 
   /** Nothing learned yet. */
   public ClassRecord(QueryClass kind) {
     this.kind = kind;
+    this.time = new Mean(kind.aim() / 1e9);
   }
 }
