--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -2,7 +2,6 @@
 
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -46,6 +45,8 @@
   private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
   private static final double POOL_SIGNS = 0.5; // share of the latest signs that tell of a pressed pool
+  private static final double CALM_SIGNS = 0.1; // ... and of a calm one
+  private static final long CALM_STRETCH = 2; // times as long between probes while the pool is calm
   private static final double SIGN_WEIGHT = 0.1; // of the newest sign: a gateway sees a few a second
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
@@ -70,9 +71,8 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
-  private static final double PROBE_SHARE = 0.5; // probes for each query taken, at most: each costs
-  private static final double TELL_SHARE = 0.2; // full messages for each query taken, all receivers counted
-  private static final double FULL_MESSAGE = 256; // bytes that a message is priced by
+  private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
+  private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
@@ -82,20 +82,14 @@
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
+  private static final long SUSPECT = 5_000 * MILLISECOND; // a restart shows in the list after such a time
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
-  private static final double COLD_SMALL = 0.1; // of that budget at most in one query: few of them can fall together
+  private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
-  private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
-  private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
-  private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
-  private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
-  private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
-  private static final double TENANT_LEAST = 5; // queries at once: fewer come together by chance
-  private static final String HELD = "held"; // message to peers: a load holds a group there
-  private static final String FREE = "free"; // ... and has ended
+  private static final double TENANT_LEAST = 5; // queries of a tenant at once, or those of a second
   private static final long TICK_TOKEN = 0;
   private static final long WATCH_TOKEN = 1;
 
@@ -105,20 +99,17 @@
   private long lastTick;
   private long stalledUntil;
   private long taken;
-  private double crossing;
+  private int widest;
   private double probeCredit;
-  private double tellCredit;
   private double meanWorth;
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
   private double poolSigns;
-  private boolean loadsHoldUp;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
   private final Map<String, KeyLine> keyLines = new LinkedHashMap<>();
   private final List<ClassRecord> classes = new ArrayList<>();
   private final List<TokenBucket> tenants = new ArrayList<>();
-  private final Set<Integer> boundKinds = new LinkedHashSet<>();
   private final SlidingSum takenLately = new SlidingSum(REPORT_AGE);
   private SlidingSum takenInSpan;
   private SlidingSum extrasInSpan;
@@ -135,11 +126,9 @@
     settings = s;
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
-    s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
-    s.tenants().forEach(t -> tenants.add(bucket(t.quotaPerSecond() / s.gateways())));
-    classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
-    loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
-    crossing = s.crossPrice() * CROSS_WEIGHT;
+    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
+    widest = s.classes().stream().mapToInt(QueryClass::threads).max().orElse(1);
+    meanWorth = s.classes().stream().mapToDouble(QueryClass::worth).average().orElse(0);
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
     if (s.subscribe()) {
@@ -149,10 +138,6 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
-  private static TokenBucket bucket(double perSecond) {
-    return new TokenBucket(perSecond, Math.max(TENANT_LEAST, perSecond * TENANT_BURST));
-  }
-
   @Override
   public void engines(long now, boolean complete, List<EngineInfo> entries) {
     Set<String> named = new LinkedHashSet<>();
@@ -187,19 +172,27 @@
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.lastSign = now;
+    beCold(now, e, entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0);
+    return e;
+  }
+
+  /** An engine lost or out of reach may come back cold, which the list tells seconds later. */
+  private void suspect(long now, Engine e) {
+    if (now >= e.coldUntil) {
+      beCold(now, e, now);
+    }
+    e.coldUntil = Math.max(e.coldUntil, now + SUSPECT);
+  }
+
+  private void beCold(long now, Engine e, long until) {
+    e.coldUntil = until;
     e.coldFrom = now;
     e.coldPhase = random.nextDouble();
     e.coldWork = new SlidingSum(settings.rules().fallTime());
-    e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
-    return e;
   }
 
   private double mostThreads(Engine e) {
-    return Math.max(widest(), e.cores * BOUND_THREADS / settings.gateways());
-  }
-
-  private int widest() {
-    return classes.stream().mapToInt(c -> c.kind.threads()).max().orElse(1);
+    return Math.max(widest, e.cores * BOUND_THREADS / settings.gateways());
   }
 
   @Override
@@ -220,8 +213,6 @@
     takenInSpan.add(now, 1);
     takenLately.add(now, 1);
     probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
-    tellCredit = Math.min(tellCredit + TELL_SHARE, settings.gateways());
-    meanWorth = average(meanWorth, kind.worth(), (int) taken);
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
@@ -230,7 +221,7 @@
     }
     q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
-    if (itsTurn && ask(now, q)) {
+    if (itsTurn && seconds(time - 2 * TICK) > estimate(q, meanRatio()) && ask(now, q)) {
       held.put(q.number, q); // until the reports are in
       return;
     }
@@ -276,7 +267,7 @@
   /** Seconds that the query takes on an engine of that ratio. */
   private double estimate(QueryRecord q, double ratio) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.meanTime) * ratio;
+    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.time.value) * ratio;
   }
 
   /** Seconds of work of all its threads, as far as it is known. */
@@ -286,12 +277,12 @@
 
   private double usualCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
+    return c.cost.count > 0 ? c.cost.value : seconds(c.kind.deadline()) * UNKNOWN_COST;
   }
 
   private double memory(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor.value : c.memory.value;
     return settings.traits().grants() ? need * GRANT_MARGIN : need;
   }
 
@@ -303,10 +294,8 @@
   private void learnCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
     if (q.query.cost() > 0) {
-      c.meanCost = average(c.meanCost, seconds(q.query.cost()), c.costs++);
-      if (c.served == 0) {
-        c.factor = c.kind.aim() / SECOND / c.meanCost; // starts at the aim over the usual cost
-      }
+      c.cost.add(seconds(q.query.cost()), LEARN_WEIGHT);
+      c.factor = c.served.count > 0 ? c.factor : c.kind.aim() / SECOND / c.cost.value; // the design's start
     }
   }
 
@@ -317,37 +306,32 @@
     Engine e = a.engine;
     double time = seconds(end.spent());
     if (end.costMs() > 0 && q.query.cost() <= 0) {
-      c.meanCost = average(c.meanCost, end.costMs() / 1e3, c.costs++);
+      c.cost.add(end.costMs() / 1e3, LEARN_WEIGHT);
     }
     if (end.memoryMb() > 0) {
-      c.meanMemory = average(c.meanMemory, end.memoryMb(), c.memories);
-      if (q.query.memoryMb() > 0) {
-        c.memoryFactor = average(c.memoryFactor, end.memoryMb() / q.query.memoryMb(), c.memories);
-      }
-      c.memories++;
+      c.memory.add(end.memoryMb(), LEARN_WEIGHT);
+      double estimated = q.query.memoryMb();
+      c.memoryFactor.add(estimated > 0 ? end.memoryMb() / estimated : 1, LEARN_WEIGHT);
     }
-    c.meanTime = average(c.meanTime, time / e.ratio, c.served);
-    c.servedCost = average(c.servedCost, cost(q), c.served++);
-    c.factor = c.meanTime / c.servedCost;
+    c.time.add(time / e.ratio, LEARN_WEIGHT);
+    c.served.add(cost(q), LEARN_WEIGHT);
+    c.factor = c.time.value / c.served.value;
     double ratio = time / Math.max(a.predicted, 1e-3);
     ratio = e.ratio + RATIO_WEIGHT * (ratio - e.ratio);
     e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
     noteStrain(e, time / aim, work);
-    noteStrain(pool, time / aim, work);
-  }
-
-  private double average(double mean, double value, int count) {
-    return mean + Math.max(LEARN_WEIGHT, 1.0 / (count + 1)) * (value - mean);
   }
 
   // ---- The bound, and whether it binds ----
 
   /** Averages what share of its aim a query took; long queries tell more than short ones. */
   private void noteStrain(Engine e, double strain, double work) {
-    double usual = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
-    e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
+    double usual = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
+    double weight = RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3));
+    e.strain += weight * (strain - e.strain);
+    pool.strain += weight * (strain - pool.strain);
   }
 
   /** Cuts the bound towards what is out there under pressure, lets it grow back when calm. */
@@ -360,7 +344,7 @@
     }
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
-      double least = Math.max(widest(), e.cores * floor / settings.gateways());
+      double least = Math.max(widest, e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
       e.boundChangedAt = now;
     } else if (e.strain < CALM && e.bound < mostThreads(e)) {
@@ -369,6 +353,11 @@
     }
   }
 
+  /** Hardly a sign of pressure anywhere: looking around costs more than it earns. */
+  private boolean calm() {
+    return poolSigns < CALM_SIGNS && pool.strain < CALM;
+  }
+
   /** A sign from any engine tells of the pool: a gateway with few queries learns too little of each one. */
   private void notePool(boolean pressed) {
     poolSigns += SIGN_WEIGHT * ((pressed ? 1 : 0) - poolSigns);
@@ -398,8 +387,12 @@
     if (e == pool && !pressed) {
       return true;
     }
-    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
-    boolean memory = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share
+    if ( now - e.reportAt < REPORT_AGE && busy(e.report)
+        && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
+      return false; // it says itself that it is full, and our part of it holds no further query
+    }
+    boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
+        || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways()
         || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
@@ -408,11 +401,7 @@
 
   /** Whether the rules and the engine's health leave it open to the query. */
   private boolean open(long now, QueryRecord q, Engine e) {
-    return permitted(now, q, e) && now >= e.restUntil;
-  }
-
-  private boolean permitted(long now, QueryRecord q, Engine e) {
-    return e.state == EngineState.UP
+    return e.state == EngineState.UP && now >= e.restUntil
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
         && repeatAllowed(now, q, e)
@@ -420,8 +409,8 @@
   }
 
   /**
-   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: all gateways wait the
-   * time in which the budget of them all holds one from each, the first time a random part of it.
+   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: it waits the time
+   * in which the budget of them all holds one from each gateway, the first time a random part of it.
    */
   private boolean coldAllowed(long now, QueryRecord q, Engine e) {
     double own = coldBudget(now, e);
@@ -463,40 +452,41 @@
   }
 
   /**
-   * Asks two drawn engines how they are, for a query worth more than most: where a gateway has too few queries
-   * to keep the reports of all engines fresh, it would else choose blindly. The query is held meanwhile.
+   * Asks two drawn engines how they are, and two others where both are full: a gateway with too few queries
+   * to keep the reports of all engines fresh would else choose blindly. The query is held meanwhile.
    */
   private boolean ask(long now, QueryRecord q) {
-    if (reportsKept(now) || !fits(now, q, pool) || q.kind.worth() < meanWorth || probeCredit < 2) {
+    boolean found = q.asked.stream().anyMatch(e -> open(now, q, e) && hasRoom(now, q, e));
+    if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
+        || probeCredit < 2) {
       return false;
     }
-    List<Engine> drawn = drawTwo(candidates(now, q));
-    for (Engine e : drawn) {
-      probe(now, e);
-    }
-    q.asked.addAll(drawn);
+    q.asked.clear();
+    q.asked.addAll(drawTwo(candidates(now, q)));
+    q.asked.forEach(e -> probe(now, e));
     q.askedUntil = now + ASK_WAIT;
-    return !drawn.isEmpty();
+    return !q.asked.isEmpty();
   }
 
   private boolean asking(long now, QueryRecord q) {
     return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
   }
 
+  private boolean reportsTold() {
+    return settings.limits().probes() && settings.traits().reports();
+  }
+
   /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
   private boolean reportsKept(long now) {
-    return !settings.limits().probes() || !settings.traits().reports()
-        || takenLately.sum(now) * PROBE_SHARE >= engines.size();
+    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
   }
 
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
-    if (!fits(now, q, pool)) {
-      return null;
-    }
-    List<Engine> asked = q.asked.stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
-    asked = preferred(asked, e -> !e.probing); // one that has not answered in time is busy
-    List<Engine> drawn = asked.isEmpty() ? drawTwo(candidates(now, q)) : asked;
+    List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
+    // Of those asked, one that has not answered in time is busy.
+    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && !e.probing).toList();
+    List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
     return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
   }
 
@@ -508,8 +498,7 @@
       }
     }
     draw = preferred(draw, e -> !q.triedOn(e));
-    boolean join = q.kind.load() && holdsTooMuch(now, q);
-    return preferred(draw, e -> heldByLoad(now, q, e) == join);
+    return preferred(draw, e -> !heldByLoad(now, q, e));
   }
 
   private List<Engine> drawTwo(List<Engine> draw) {
@@ -526,27 +515,14 @@
     return some.isEmpty() ? engines : some;
   }
 
-  /** Where others stand still behind loads, those of one group must not hold it everywhere at once. */
-  private boolean holdsTooMuch(long now, QueryRecord q) {
-    long up = engines.values().stream().filter(e -> e.state == EngineState.UP).count();
-    long holding = engines.values().stream().filter(e -> heldByLoad(now, q, e)).count();
-    return loadsHoldUp && holding >= up * LOAD_ENGINES;
-  }
-
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
-    if (e.warm.contains(q.query.group())) {
-      load *= WARM_DISCOUNT;
-    }
     if (e.info.zone() != settings.zone()) {
-      load *= 1 + crossing;
-    }
-    if (q.kind.kinds().isEmpty() && boundKinds.contains(e.info.kind())) {
-      load *= BOUND_KIND;
+      load *= 1 + settings.crossPrice() * CROSS_WEIGHT;
     }
     return load;
   }
@@ -573,14 +549,12 @@
       extrasInSpan.add(now, 1);
     }
     setTerms(q);
-    tellPeers(HELD, q, e);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
     e.add(a);
     q.asked.clear();
     pool.add(a);
-    e.touch(q.query.group(), WARM_GROUPS);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
       e.coldFrom = now + (long) coldTurn(now, q, e);
@@ -599,7 +573,7 @@
     Traits traits = settings.traits();
     int priority = dense(q) ? 3 : 1;
     ClassRecord c = classes.get(q.query.queryClass());
-    double grant = traits.grants() && c.memories > 0 ? memory(q) : 0;
+    double grant = traits.grants() && c.memory.count > 0 ? memory(q) : 0;
     if (traits.priorities() && priority != 1 || grant > 0) {
       actions.terms(q.query.id(), grant, priority);
     }
@@ -607,10 +581,9 @@
 
   /** True for the classes that earn clearly more for their work than the usual query. */
   private boolean dense(QueryRecord q) {
-    double worth = classes.stream().mapToDouble(c -> c.kind.worth()).average().orElse(0);
-    double cost = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
+    double cost = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.meanCost > 0 && c.kind.worth() / c.meanCost > DENSE * worth / Math.max(cost, 1e-9);
+    return c.cost.value > 0 && c.kind.worth() / c.cost.value > DENSE * meanWorth / Math.max(cost, 1e-9);
   }
 
   // ---- While an attempt is out ----
@@ -637,12 +610,12 @@
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
       if (canMove(now, a)) {
-        abandon(now, a); // it has done nothing yet, and a load takes long
+        cancel(a); // it has done nothing yet, and a load takes long
       }
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
       if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
-        abandon(now, a);
+        cancel(a);
       }
     }
   }
@@ -659,26 +632,21 @@
         && now + (long) (usual * SECOND) < a.query.deadline;
   }
 
-  /** Cancels an attempt that is worth leaving, so that the query can go elsewhere or be answered. */
-  private void abandon(long now, Attempt a) {
-    QueryRecord q = a.query;
-    if (!q.over && !q.streaming && q.kind.effect() != Effect.UNSAFE) {
-      cancel(a);
-    }
-  }
-
+  /** Gives up an attempt of a query that is over, or that may go elsewhere or be answered. */
   private void cancel(Attempt a) {
-    if (!a.ended && !a.abandoned && settings.limits().cancel()) {
+    QueryRecord q = a.query;
+    boolean free = q.over || !q.streaming && q.kind.effect() != Effect.UNSAFE;
+    if (free && !a.ended && !a.abandoned && settings.limits().cancel()) {
       a.abandoned = true;
-      actions.cancel(a.query.query.id(), a.number);
+      actions.cancel(q.query.id(), a.number);
     }
   }
 
   /** True where another engine can take the query now, within the rules. */
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
-    return furtherAllowed(now, q) && engines.values().stream()
-        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e) && !heldByLoad(now, q, e));
+    return furtherAllowed(now, q)
+        && candidates(now, q).stream().anyMatch(e -> e != a.engine && !heldByLoad(now, q, e));
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
@@ -706,7 +674,6 @@
       learn(now, a, end);
     } else if (end.outcome() == Outcome.TIMEOUT) {
       noteStrain(a.engine, 1, cost(q));
-      noteStrain(pool, 1, cost(q));
     }
     if (end.over()) {
       q.over = true;
@@ -722,15 +689,12 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
-    tellPeers(FREE, q, e);
     e.remove(a);
     pool.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
     }
-    boolean mayRunOn = end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.RESET
-        || end.outcome() == Outcome.CANCELLED;
-    if (q.keyLine != null && mayRunOn) {
+    if (q.keyLine != null && end.outcome().mayRunOn) {
       q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
     }
     noteReport(now, e, end.report());
@@ -742,6 +706,9 @@
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
+      if (end.outcome() != Outcome.ERROR) {
+        suspect(now, e);
+      }
       noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
@@ -750,12 +717,17 @@
         e.troubles = 0;
       }
     } else if (end.outcome() == Outcome.FULL) {
-      e.fullUntil = now + FULL_REST;
-      e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
-      e.bound = Math.max(widest(), Math.min(e.bound, e.threads) * BOUND_CUT);
+      noteFull(now, e);
+      e.bound = Math.max(widest, Math.min(e.bound, e.threads) * BOUND_CUT);
     }
   }
 
+  /** A full engine is left alone for a while; also one that hangs is full in the end. */
+  private void noteFull(long now, Engine e) {
+    e.fullUntil = now + FULL_REST;
+    e.restUntil = Math.max(e.restUntil, e.fullUntil);
+  }
+
   private void noteTrouble(long now, Engine e, boolean rests) {
     e.errors += ERROR_WEIGHT * (1 - e.errors);
     if (rests && now >= e.restUntil) {
@@ -785,16 +757,16 @@
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
-      if (asking(now, q)) {
-        continue;
-      }
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
         q.heldUntil = holdUntil(now, q);
       }
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
-      boolean late = now + (long) (left * SECOND) > q.deadline;
+      boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
+      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
+        continue;
+      }
       Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
@@ -878,8 +850,8 @@
   }
 
   /**
-   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time and
-   * silence count anew from here, and what comes in with the pile-up tells of no present load.
+   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time
+   * and silence count anew from here, and what comes in with the pile-up tells of no present load.
    */
   private void noteStall(long now) {
     long stall = now - lastTick - 2 * TICK;
@@ -894,8 +866,11 @@
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
     pool.remove(a);
+    if (silent) {
+      suspect(now, a.engine);
+    }
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
-    abandon(now, a);
+    cancel(a);
   }
 
   /** Finds silent engines, and probes those that report on being asked. */
@@ -913,8 +888,8 @@
       }
     }
     boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
-    if (settings.limits().probes() && settings.traits().reports() && reportsKept(now)
-        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP)) {
+    long gap = (inUse ? PROBE_GAP : CALM_GAP) * (calm() ? CALM_STRETCH : 1);
+    if (e.state == EngineState.UP && now - e.probedAt >= gap && reportsTold() && reportsKept(now)) {
       probe(now, e);
     }
   }
@@ -929,13 +904,18 @@
   }
 
   @Override
-  public void probed(long now, String engine, boolean answered, Report report) {
+  public void probed(long now, String engine, Outcome outcome, Report report) {
     Engine e = engines.get(engine);
     if (e == null) {
       return;
     }
     e.probing = false;
-    noteReport(now, e, answered ? report : null);
+    if (outcome == Outcome.SERVED) {
+      noteReport(now, e, report);
+    } else {
+      noteFull(now, e);
+      suspect(now, e);
+    }
     release(now, false);
   }
 
@@ -947,31 +927,6 @@
     }
   }
 
-  @Override
-  public void heard(long now, int peer, byte[] message) {
-    // Which groups a peer's loads hold cannot be seen from here before a query stands still behind one.
-    String[] words = new String(message, StandardCharsets.UTF_8).split(" ");
-    Engine e = words.length == 3 ? engines.get(words[1]) : null;
-    if (e != null && words[2].matches("\\d{1,9}")) {
-      int group = Integer.parseInt(words[2]);
-      if (words[0].equals(HELD)) {
-        e.heldGroups.put(group, now + LOAD_MARK);
-      } else {
-        e.heldGroups.remove(group);
-      }
-    }
-  }
-
-  /** Tells peers of a group held or free again; the mark fades by itself where a message is lost. */
-  private void tellPeers(String word, QueryRecord q, Engine e) {
-    byte[] message = (word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8);
-    double price = message.length / FULL_MESSAGE * (settings.gateways() - 1);
-    if (q.kind.load() && settings.limits().peers() && price > 0 && price <= tellCredit) {
-      tellCredit -= price;
-      actions.tell(message);
-    }
-  }
-
   private static double seconds(long time) {
     return time / SECOND;
   }
