--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -82,7 +82,6 @@
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
-  private static final long SUSPECT = 5_000 * MILLISECOND; // a restart shows in the list after such a time
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
   private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
@@ -172,23 +171,11 @@
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.lastSign = now;
-    beCold(now, e, entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0);
-    return e;
-  }
-
-  /** An engine lost or out of reach may come back cold, which the list tells seconds later. */
-  private void suspect(long now, Engine e) {
-    if (now >= e.coldUntil) {
-      beCold(now, e, now);
-    }
-    e.coldUntil = Math.max(e.coldUntil, now + SUSPECT);
-  }
-
-  private void beCold(long now, Engine e, long until) {
-    e.coldUntil = until;
+    e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
     e.coldFrom = now;
     e.coldPhase = random.nextDouble();
     e.coldWork = new SlidingSum(settings.rules().fallTime());
+    return e;
   }
 
   private double mostThreads(Engine e) {
@@ -484,8 +471,8 @@
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
     List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
-    // Of those asked, one that has not answered in time is busy.
-    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && !e.probing).toList();
+    long askedAt = q.askedUntil - ASK_WAIT; // one that has not answered since is busy, or worse
+    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && e.reportAt >= askedAt).toList();
     List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
     return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
   }
@@ -706,9 +693,6 @@
     boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
         || end.outcome() == Outcome.UNREACHED;
     if (bad) {
-      if (end.outcome() != Outcome.ERROR) {
-        suspect(now, e);
-      }
       noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
@@ -717,17 +701,12 @@
         e.troubles = 0;
       }
     } else if (end.outcome() == Outcome.FULL) {
-      noteFull(now, e);
+      e.fullUntil = now + FULL_REST;
+      e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
       e.bound = Math.max(widest, Math.min(e.bound, e.threads) * BOUND_CUT);
     }
   }
 
-  /** A full engine is left alone for a while; also one that hangs is full in the end. */
-  private void noteFull(long now, Engine e) {
-    e.fullUntil = now + FULL_REST;
-    e.restUntil = Math.max(e.restUntil, e.fullUntil);
-  }
-
   private void noteTrouble(long now, Engine e, boolean rests) {
     e.errors += ERROR_WEIGHT * (1 - e.errors);
     if (rests && now >= e.restUntil) {
@@ -866,9 +845,6 @@
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
     pool.remove(a);
-    if (silent) {
-      suspect(now, a.engine);
-    }
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
     cancel(a);
   }
@@ -904,18 +880,13 @@
   }
 
   @Override
-  public void probed(long now, String engine, Outcome outcome, Report report) {
+  public void probed(long now, String engine, boolean answered, Report report) {
     Engine e = engines.get(engine);
     if (e == null) {
       return;
     }
     e.probing = false;
-    if (outcome == Outcome.SERVED) {
-      noteReport(now, e, report);
-    } else {
-      noteFull(now, e);
-      suspect(now, e);
-    }
+    noteReport(now, e, answered ? report : null);
     release(now, false);
   }
 
--- a/src/main/java/reachloom/Decisions.java
+++ b/src/main/java/reachloom/Decisions.java
@@ -39,7 +39,7 @@
     void wake(long now, long token);
 
     /** A probe is over; {@code report} is null without one. */
-    void probed(long now, String engine, Outcome outcome, Report report);
+    void probed(long now, String engine, boolean answered, Report report);
   }
 
   /** What a gateway may do. */
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -172,7 +172,7 @@
       case "Left" -> events.leave(now, text(item, "handle", name));
       case "DeadlineHit" -> events.wake(now, item.path("nonce").asLong());
       case "ProbeResult" -> events.probed(now, text(item, "node", name),
-          OUTCOMES.getOrDefault(item.path("ending").asText(), Outcome.ERROR), report(item.path("telemetry")));
+          "S".equals(item.path("ending").asText()), report(item.path("telemetry")));
       case "NeighbourSays" -> { } // the module sends none, and expects none
       default -> {
         if (unknownEvents.add(name)) {
--- a/src/test/java/reachloom/Bench.java
+++ b/src/test/java/reachloom/Bench.java
@@ -104,7 +104,7 @@
   }
 
   void report(String engine, double util) {
-    choice.probed(now, engine, Outcome.SERVED, new Report(util, 0, 0, 0));
+    choice.probed(now, engine, true, new Report(util, 0, 0, 0));
   }
 
   /** Lets time pass; the module's timers come due. */
