--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -2,23 +2,9 @@
 
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Predicate;
-import reachloom.state.Attempt;
-import reachloom.state.ClassRecord;
-import reachloom.state.Engine;
-import reachloom.state.KeyLine;
-import reachloom.state.QueryRecord;
-import reachloom.state.SlidingSum;
-import reachloom.state.TokenBucket;
+import reachloom.state.*;
 
 /**
  * Decides for one gateway: admits a query at arrival on a prediction, holds it for a short while, releases
@@ -46,7 +32,6 @@
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
   private static final double POOL_SIGNS = 0.5; // share of the latest signs that tell of a pressed pool
   private static final double CALM_SIGNS = 0.1; // ... and of a calm one
-  private static final long CALM_STRETCH = 2; // times as long between probes while the pool is calm
   private static final double SIGN_WEIGHT = 0.1; // of the newest sign: a gateway sees a few a second
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
@@ -75,8 +60,7 @@
   private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
-  private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
-  private static final double IN_USE = 0.5; // own threads a core, for all gateways: a burst could press it
+  private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
@@ -102,7 +86,7 @@
   private double probeCredit;
   private double meanWorth;
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
-  private double poolSigns;
+  private double poolSigns = POOL_SIGNS; // nothing known: neither pressed nor calm
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
@@ -225,28 +209,18 @@
 
   /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
   private double predictedWait(long now, QueryRecord q) {
-    double work = 0;
     double ratio = meanRatio();
-    for (QueryRecord h : held.values()) {
-      work += itsTurn(now, h) ? estimate(h, ratio) * h.kind.threads() : 0;
-    }
-    double bound = 0;
-    for (Engine e : engines.values()) {
-      bound += open(now, q, e) ? e.bound : 0;
-    }
+    double work = held.values().stream().filter(h -> itsTurn(now, h))
+        .mapToDouble(h -> estimate(h, ratio) * h.kind.threads()).sum();
+    double bound = engines.values().stream().filter(e -> open(now, q, e)).mapToDouble(e -> e.bound).sum();
     bound = now < pool.pressedUntil ? Math.min(bound, pool.bound) : bound;
     return work / Math.max(bound, q.kind.threads()) + keyWait(q, ratio);
   }
 
   /** The time that the earlier queries of its key still need. */
   private double keyWait(QueryRecord q, double ratio) {
-    double wait = 0;
-    if (q.keyLine != null) {
-      for (QueryRecord earlier : q.keyLine.queries) {
-        wait += earlier == q ? 0 : estimate(earlier, ratio) * (1 - earlier.done());
-      }
-    }
-    return wait;
+    return q.keyLine == null ? 0 : q.keyLine.queries.stream().filter(h -> h != q)
+        .mapToDouble(h -> estimate(h, ratio) * (1 - h.done())).sum();
   }
 
   // ---- The estimate ----
@@ -361,14 +335,10 @@
 
   /** No room where the query would stand still behind loads, or pile up there. */
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
-    int line = loadsThere(now, q, e);
-    return !(q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE) && fits(now, q, e);
+    return loadsThere(now, q, e) < (q.kind.load() ? LOAD_LINE : 1) && fits(now, q, e);
   }
 
-  /**
-   * The bound binds only under pressure; memory that would page or make others wait counts as room, too. The
-   * pool's share binds beside that of each engine: at each of many engines every gateway may have one query.
-   */
+  /** The bound, that of the whole pool, too, binds only under pressure; memory counts as room besides. */
   private boolean fits(long now, QueryRecord q, Engine e) {
     boolean pressed = now < e.pressedUntil;
     if (e == pool && !pressed) {
@@ -379,8 +349,7 @@
       return false; // it says itself that it is full, and our part of it holds no further query
     }
     boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
-        || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways()
-        || dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
+        || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways();
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
@@ -395,10 +364,7 @@
         && (now >= e.coldUntil || coldAllowed(now, q, e));
   }
 
-  /**
-   * Where a gateway's own part of the cold budget holds no query, it sends one in its turn: it waits the time
-   * in which the budget of them all holds one from each gateway, the first time a random part of it.
-   */
+  /** A share too small for a query sends one in its turn: when the shares of all gateways hold one each. */
   private boolean coldAllowed(long now, QueryRecord q, Engine e) {
     double own = coldBudget(now, e);
     return coldCost(q) <= own ? e.coldWork.sum(now) + coldCost(q) <= own
@@ -438,10 +404,7 @@
         && now < q.firstRunAt + q.kind.keyWindow() - 2 * settings.tick();
   }
 
-  /**
-   * Asks two drawn engines how they are, and two others where both are full: a gateway with too few queries
-   * to keep the reports of all engines fresh would else choose blindly. The query is held meanwhile.
-   */
+  /** Asks two drawn engines for reports, two others where both are full; few queries keep none fresh. */
   private boolean ask(long now, QueryRecord q) {
     boolean found = q.asked.stream().anyMatch(e -> open(now, q, e) && hasRoom(now, q, e));
     if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
@@ -478,14 +441,10 @@
   }
 
   private List<Engine> candidates(long now, QueryRecord q) {
-    List<Engine> draw = new ArrayList<>();
-    for (Engine e : engines.values()) {
-      if (open(now, q, e) && hasRoom(now, q, e)) {
-        draw.add(e);
-      }
-    }
+    List<Engine> draw =
+        engines.values().stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
-    return preferred(draw, e -> !heldByLoad(now, q, e));
+    return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
 
   private List<Engine> drawTwo(List<Engine> draw) {
@@ -514,14 +473,11 @@
     return load;
   }
 
-  private boolean heldByLoad(long now, QueryRecord q, Engine e) {
-    return (q.kind.load() || q.kind.waitsForLoads()) && loadsThere(now, q, e) > 0;
-  }
-
-  /** Loads of the query's group known at the engine: our own, and one of others while a mark lasts. */
+  /** Loads known at the engine that hold the query up: our own, and one of others while a mark lasts. */
   private int loadsThere(long now, QueryRecord q, Engine e) {
     int group = q.query.group();
-    return e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
+    return !q.kind.load() && !q.kind.waitsForLoads() ? 0
+        : e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
   }
 
   // ---- Sending ----
@@ -532,9 +488,7 @@
     a.threads = q.kind.threads();
     a.memory = memory(q);
     a.predicted = estimate(q, 1);
-    if (a.number > 0) {
-      extrasInSpan.add(now, 1);
-    }
+    extrasInSpan.add(now, Math.min(a.number, 1));
     setTerms(q);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
@@ -547,12 +501,8 @@
       e.coldFrom = now + (long) coldTurn(now, q, e);
       e.coldPhase = 0;
     }
-    if (e.out.size() == 1) {
-      e.lastSign = now;
-    }
-    if (e.troubles > 0) { // one query at a time until one is served
-      e.restUntil = now + REST;
-    }
+    e.lastSign = e.out.size() == 1 ? now : e.lastSign;
+    e.restUntil = e.troubles > 0 ? now + REST : e.restUntil; // one query at a time until one is served
   }
 
   /** Grant and priority, where the engines heed them. */
@@ -633,7 +583,7 @@
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
     return furtherAllowed(now, q)
-        && candidates(now, q).stream().anyMatch(e -> e != a.engine && !heldByLoad(now, q, e));
+        && candidates(now, q).stream().anyMatch(e -> e != a.engine && loadsThere(now, q, e) == 0);
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
@@ -662,9 +612,7 @@
     } else if (end.outcome() == Outcome.TIMEOUT) {
       noteStrain(a.engine, 1, cost(q));
     }
-    if (end.over()) {
-      q.over = true;
-    }
+    q.over |= end.over();
     if (!q.over && q.out == 0) {
       goOn(now, q);
     }
@@ -697,9 +645,7 @@
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
       e.lastSign = now;
-      if (e.errors <= ERRORS_BAD) {
-        e.troubles = 0;
-      }
+      e.troubles = e.errors <= ERRORS_BAD ? 0 : e.troubles;
     } else if (end.outcome() == Outcome.FULL) {
       e.fullUntil = now + FULL_REST;
       e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
@@ -828,10 +774,7 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
-  /**
-   * After a stall of this gateway the line has aged unseen, and so have engines and attempts: holding time
-   * and silence count anew from here, and what comes in with the pile-up tells of no present load.
-   */
+  /** After a stall all has aged unseen: holding and silence count anew, the pile-up's reports are old. */
   private void noteStall(long now) {
     long stall = now - lastTick - 2 * TICK;
     if (stall > 0) {
@@ -863,8 +806,7 @@
         lose(now, a, silent);
       }
     }
-    boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
-    long gap = (inUse ? PROBE_GAP : CALM_GAP) * (calm() ? CALM_STRETCH : 1);
+    long gap = calm() ? CALM_GAP : PROBE_GAP;
     if (e.state == EngineState.UP && now - e.probedAt >= gap && reportsTold() && reportsKept(now)) {
       probe(now, e);
     }
--- a/src/main/java/reachloom/state/Mean.java
+++ b/src/main/java/reachloom/state/Mean.java
@@ -13,6 +13,6 @@
   /** Adds a value, which weighs as much as any so far, and the given weight at least. */
   public void add(double newest, double leastWeight) {
     count++;
-    value += Math.max(leastWeight, 1.0 / count) * (newest - value);
+    value += Math.max(leastWeight, 1 / (double) count) * (newest - value);
   }
 }
