--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -2,23 +2,9 @@
 
 // The interface of this module, its types, events and actions, is src/main/java/reachloom/Decisions.java.
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Predicate;
-import reachloom.state.Attempt;
-import reachloom.state.ClassRecord;
-import reachloom.state.Engine;
-import reachloom.state.KeyLine;
-import reachloom.state.QueryRecord;
-import reachloom.state.SlidingSum;
-import reachloom.state.TokenBucket;
+import reachloom.state.*;
 
 /**
  * Decides for one gateway: admits a query at arrival on a prediction, holds it for a short while, releases
@@ -44,6 +30,9 @@
   private static final long PRESSURE_HOLD = 2_000 * MILLISECOND; // the bound binds on after a sign
   private static final double MEMORY_ROOM = 0.95; // share of an engine's memory that is planned for
   private static final long REPORT_AGE = 2_000 * MILLISECOND; // an older report tells nothing of now
+  private static final double POOL_SIGNS = 0.5; // share of the latest signs that tell of a pressed pool
+  private static final double CALM_SIGNS = 0.1; // ... and of a calm one
+  private static final double SIGN_WEIGHT = 0.1; // of the newest sign: a gateway sees a few a second
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
   // The estimate.
@@ -67,25 +56,23 @@
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
+  private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
+  private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
+  private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
-  private static final long CALM_GAP = 1_000 * MILLISECOND; // ... while it is hardly used: each costs
-  private static final double IN_USE = 0.5; // own threads a core, for all gateways: a burst could press it
+  private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
+  private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
+  private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
-  private static final double WARM_DISCOUNT = 0.85; // of the load, where the table group is warm
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
-  private static final double LOAD_ENGINES = 0.5; // share of the engines that the loads of one group may hold
-  private static final int WARM_GROUPS = 4; // groups that an engine is taken to keep warm
   private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
-  private static final double BOUND_KIND = 1.3; // load of engines that a bound class needs, for free classes
   private static final long LOAD_MARK = 5_000 * MILLISECOND; // a group counts as held so long: a usual load
-  private static final double TENANT_BURST = 1; // seconds of its share that a tenant may send at once
-  private static final String HELD = "held"; // message to peers: a load holds a group there
-  private static final String FREE = "free"; // ... and has ended
+  private static final double TENANT_LEAST = 5; // queries of a tenant at once, or those of a second
   private static final long TICK_TOKEN = 0;
   private static final long WATCH_TOKEN = 1;
 
@@ -93,16 +80,20 @@
   private Settings settings;
   private SplittableRandom random;
   private long lastTick;
+  private long stalledUntil;
   private long taken;
-  private double crossing;
-  private boolean loadsHoldUp;
+  private int widest;
+  private double probeCredit;
+  private double meanWorth;
+  private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
+  private double poolSigns = POOL_SIGNS; // nothing known: neither pressed nor calm
   private final Map<String, Engine> engines = new LinkedHashMap<>();
   private final Map<String, QueryRecord> queries = new LinkedHashMap<>();
   private final TreeMap<Long, QueryRecord> held = new TreeMap<>();
   private final Map<String, KeyLine> keyLines = new LinkedHashMap<>();
   private final List<ClassRecord> classes = new ArrayList<>();
   private final List<TokenBucket> tenants = new ArrayList<>();
-  private final Set<Integer> boundKinds = new LinkedHashSet<>();
+  private final SlidingSum takenLately = new SlidingSum(REPORT_AGE);
   private SlidingSum takenInSpan;
   private SlidingSum extrasInSpan;
 
@@ -118,11 +109,9 @@
     settings = s;
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
-    s.classes().forEach(c -> boundKinds.addAll(c.kinds()));
-    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_BURST)));
-    classes.forEach(c -> c.meanTime = c.kind.aim() / SECOND);
-    loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
-    crossing = s.crossPrice() * CROSS_WEIGHT;
+    s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
+    widest = s.classes().stream().mapToInt(QueryClass::threads).max().orElse(1);
+    meanWorth = s.classes().stream().mapToDouble(QueryClass::worth).average().orElse(0);
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
     extrasInSpan = new SlidingSum(s.rules().lookBack() + 2 * s.tick());
     if (s.subscribe()) {
@@ -137,13 +126,14 @@
     Set<String> named = new LinkedHashSet<>();
     for (EngineInfo entry : entries) {
       named.add(entry.name());
-      Engine e = engines.computeIfAbsent(entry.name(), Engine::new);
-      boolean restarted = e.info == null || entry.since() > e.info.since();
+      Engine old = engines.get(entry.name());
+      if (old == null || entry.since() > old.info.since()) {
+        engines.put(entry.name(), started(now, entry)); // nothing known of the old process holds
+        List.copyOf(old == null ? Set.of() : old.out).forEach(a -> lose(now, a, false));
+      }
+      Engine e = engines.get(entry.name());
       e.info = entry;
       e.state = entry.state();
-      if (restarted) {
-        restart(now, e, entry);
-      }
     }
     for (Engine e : engines.values()) {
       if (complete && !named.contains(e.name)) {
@@ -151,34 +141,29 @@
       }
     }
     engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
+    List<Engine> up = engines.values().stream().filter(e -> e.state == EngineState.UP).toList();
+    pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
+    pool.memoryMb = up.stream().mapToDouble(e -> e.memoryMb).sum();
+    pool.bound = pool.bound > 0 ? Math.min(pool.bound, mostThreads(pool)) : mostThreads(pool);
     release(now, true);
   }
 
-  private void restart(long now, Engine e, EngineInfo entry) {
+  private Engine started(long now, EngineInfo entry) {
+    Engine e = new Engine(entry.name());
     Kind kind = entry.kind() < settings.kinds().size() ? settings.kinds().get(entry.kind()) : new Kind(0, 0);
     e.cores = kind.cores() > 0 ? kind.cores() : Math.max(1, entry.weight());
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
-    e.strain = 0;
     e.lastSign = now;
-    for (Attempt a : new ArrayList<>(e.out)) {
-      lose(now, a, false); // what the old process ran is gone
-    }
-    e.errors = 0;
-    e.troubles = 0;
-    e.restUntil = now;
-    e.warm.clear();
-    e.heldGroups.clear();
-    e.coldWork = new SlidingSum(settings.rules().fallTime());
     e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
+    e.coldFrom = now;
+    e.coldPhase = random.nextDouble();
+    e.coldWork = new SlidingSum(settings.rules().fallTime());
+    return e;
   }
 
   private double mostThreads(Engine e) {
-    return Math.max(widest(), e.cores * BOUND_THREADS / settings.gateways());
-  }
-
-  private int widest() {
-    return classes.stream().mapToInt(c -> c.kind.threads()).max().orElse(1);
+    return Math.max(widest, e.cores * BOUND_THREADS / settings.gateways());
   }
 
   @Override
@@ -197,6 +182,8 @@
     QueryRecord q = new QueryRecord(query, kind, taken++, now, now + time);
     queries.put(query.id(), q);
     takenInSpan.add(now, 1);
+    takenLately.add(now, 1);
+    probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
@@ -205,6 +192,10 @@
     }
     q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
+    if (itsTurn && seconds(time - 2 * TICK) > estimate(q, meanRatio()) && ask(now, q)) {
+      held.put(q.number, q); // until the reports are in
+      return;
+    }
     Engine engine = itsTurn ? pick(now, q) : null;
     if (engine != null && seconds(time) >= estimate(q, engine.ratio)) {
       send(now, q, engine);
@@ -218,27 +209,18 @@
 
   /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
   private double predictedWait(long now, QueryRecord q) {
-    double work = 0;
     double ratio = meanRatio();
-    for (QueryRecord h : held.values()) {
-      work += itsTurn(now, h) ? estimate(h, ratio) * h.kind.threads() : 0;
-    }
-    double bound = 0;
-    for (Engine e : engines.values()) {
-      bound += open(now, q, e) ? e.bound : 0;
-    }
+    double work = held.values().stream().filter(h -> itsTurn(now, h))
+        .mapToDouble(h -> estimate(h, ratio) * h.kind.threads()).sum();
+    double bound = engines.values().stream().filter(e -> open(now, q, e)).mapToDouble(e -> e.bound).sum();
+    bound = now < pool.pressedUntil ? Math.min(bound, pool.bound) : bound;
     return work / Math.max(bound, q.kind.threads()) + keyWait(q, ratio);
   }
 
   /** The time that the earlier queries of its key still need. */
   private double keyWait(QueryRecord q, double ratio) {
-    double wait = 0;
-    if (q.keyLine != null) {
-      for (QueryRecord earlier : q.keyLine.queries) {
-        wait += earlier == q ? 0 : estimate(earlier, ratio) * (1 - earlier.done());
-      }
-    }
-    return wait;
+    return q.keyLine == null ? 0 : q.keyLine.queries.stream().filter(h -> h != q)
+        .mapToDouble(h -> estimate(h, ratio) * (1 - h.done())).sum();
   }
 
   // ---- The estimate ----
@@ -246,7 +228,7 @@
   /** Seconds that the query takes on an engine of that ratio. */
   private double estimate(QueryRecord q, double ratio) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.meanTime) * ratio;
+    return (q.query.cost() > 0 ? seconds(q.query.cost()) * c.factor : c.time.value) * ratio;
   }
 
   /** Seconds of work of all its threads, as far as it is known. */
@@ -256,12 +238,12 @@
 
   private double usualCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.costs > 0 ? c.meanCost : seconds(c.kind.deadline()) * UNKNOWN_COST;
+    return c.cost.count > 0 ? c.cost.value : seconds(c.kind.deadline()) * UNKNOWN_COST;
   }
 
   private double memory(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
-    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor : c.meanMemory;
+    double need = q.query.memoryMb() > 0 ? q.query.memoryMb() * c.memoryFactor.value : c.memory.value;
     return settings.traits().grants() ? need * GRANT_MARGIN : need;
   }
 
@@ -273,10 +255,8 @@
   private void learnCost(QueryRecord q) {
     ClassRecord c = classes.get(q.query.queryClass());
     if (q.query.cost() > 0) {
-      c.meanCost = average(c.meanCost, seconds(q.query.cost()), c.costs++);
-      if (c.served == 0) {
-        c.factor = c.kind.aim() / SECOND / c.meanCost; // starts at the aim over the usual cost
-      }
+      c.cost.add(seconds(q.query.cost()), LEARN_WEIGHT);
+      c.factor = c.served.count > 0 ? c.factor : c.kind.aim() / SECOND / c.cost.value; // the design's start
     }
   }
 
@@ -287,18 +267,16 @@
     Engine e = a.engine;
     double time = seconds(end.spent());
     if (end.costMs() > 0 && q.query.cost() <= 0) {
-      c.meanCost = average(c.meanCost, end.costMs() / 1e3, c.costs++);
+      c.cost.add(end.costMs() / 1e3, LEARN_WEIGHT);
     }
     if (end.memoryMb() > 0) {
-      c.meanMemory = average(c.meanMemory, end.memoryMb(), c.memories);
-      if (q.query.memoryMb() > 0) {
-        c.memoryFactor = average(c.memoryFactor, end.memoryMb() / q.query.memoryMb(), c.memories);
-      }
-      c.memories++;
+      c.memory.add(end.memoryMb(), LEARN_WEIGHT);
+      double estimated = q.query.memoryMb();
+      c.memoryFactor.add(estimated > 0 ? end.memoryMb() / estimated : 1, LEARN_WEIGHT);
     }
-    c.meanTime = average(c.meanTime, time / e.ratio, c.served);
-    c.servedCost = average(c.servedCost, cost(q), c.served++);
-    c.factor = c.meanTime / c.servedCost;
+    c.time.add(time / e.ratio, LEARN_WEIGHT);
+    c.served.add(cost(q), LEARN_WEIGHT);
+    c.factor = c.time.value / c.served.value;
     double ratio = time / Math.max(a.predicted, 1e-3);
     ratio = e.ratio + RATIO_WEIGHT * (ratio - e.ratio);
     e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
@@ -307,21 +285,18 @@
     noteStrain(e, time / aim, work);
   }
 
-  private double average(double mean, double value, int count) {
-    return mean + Math.max(LEARN_WEIGHT, 1.0 / (count + 1)) * (value - mean);
-  }
-
   // ---- The bound, and whether it binds ----
 
   /** Averages what share of its aim a query took; long queries tell more than short ones. */
   private void noteStrain(Engine e, double strain, double work) {
-    double usual = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
-    e.strain += RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3)) * (strain - e.strain);
+    double usual = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
+    double weight = RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3));
+    e.strain += weight * (strain - e.strain);
+    pool.strain += weight * (strain - pool.strain);
   }
 
-  /** Cuts the bound towards what is out there while an engine is pressed, lets it grow back when calm. */
-  private void moveBound(long now, Engine e) {
-    boolean pressed = pressed(now, e);
+  /** Cuts the bound towards what is out there under pressure, lets it grow back when calm. */
+  private void moveBound(long now, Engine e, boolean pressed) {
     if (pressed) {
       e.pressedUntil = now + PRESSURE_HOLD;
     }
@@ -330,7 +305,7 @@
     }
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
-      double least = Math.max(widest(), e.cores * floor / settings.gateways());
+      double least = Math.max(widest, e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
       e.boundChangedAt = now;
     } else if (e.strain < CALM && e.bound < mostThreads(e)) {
@@ -339,38 +314,66 @@
     }
   }
 
+  /** Hardly a sign of pressure anywhere: looking around costs more than it earns. */
+  private boolean calm() {
+    return poolSigns < CALM_SIGNS && pool.strain < CALM;
+  }
+
+  /** A sign from any engine tells of the pool: a gateway with few queries learns too little of each one. */
+  private void notePool(boolean pressed) {
+    poolSigns += SIGN_WEIGHT * ((pressed ? 1 : 0) - poolSigns);
+  }
+
   /** The three signs of pressure: slow latency, a busy report, a full refusal. */
   private boolean pressed(long now, Engine e) {
-    boolean busy = e.report != null && now - e.reportAt < REPORT_AGE
-        && (e.report.util() > BUSY || e.report.queue() >= 1 || e.report.memoryShare() > BUSY
-            || e.report.diskShare() > BUSY);
-    return e.strain > SLOW || busy || now < e.fullUntil;
+    return e.strain > SLOW || now < e.fullUntil || now - e.reportAt < REPORT_AGE && busy(e.report);
+  }
+
+  private static boolean busy(Report r) {
+    return r != null && (r.util() > BUSY || r.queue() >= 1 || r.memoryShare() > BUSY || r.diskShare() > BUSY);
   }
 
-  /** The bound binds only under pressure; memory that would page or make others wait counts as room, too. */
+  /** No room where the query would stand still behind loads, or pile up there. */
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
-    double share = e.memoryMb * MEMORY_ROOM / settings.gateways();
-    boolean fits = e.memoryMb <= 0 || e.out.isEmpty() || e.memory + memory(q) <= share;
-    int line = loadsThere(now, q, e);
-    boolean standsStill = q.kind.waitsForLoads() && line > 0 || q.kind.load() && line >= LOAD_LINE;
-    double bound = e.bound * (dense(q) ? DENSE_ROOM : 1);
-    boolean small = dense(q) && settings.traits().overbooked() != Overbooked.PAGE;
-    return (fits || small) && !standsStill && (now >= e.pressedUntil || e.threads + 1 <= bound);
+    return loadsThere(now, q, e) < (q.kind.load() ? LOAD_LINE : 1) && fits(now, q, e);
+  }
+
+  /** The bound, that of the whole pool, too, binds only under pressure; memory counts as room besides. */
+  private boolean fits(long now, QueryRecord q, Engine e) {
+    boolean pressed = now < e.pressedUntil;
+    if (e == pool && !pressed) {
+      return true;
+    }
+    if ( now - e.reportAt < REPORT_AGE && busy(e.report)
+        && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
+      return false; // it says itself that it is full, and our part of it holds no further query
+    }
+    boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
+        || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways();
+    return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
 
   // ---- The choice of engine ----
 
   /** Whether the rules and the engine's health leave it open to the query. */
   private boolean open(long now, QueryRecord q, Engine e) {
-    return permitted(now, q, e) && now >= e.restUntil;
-  }
-
-  private boolean permitted(long now, QueryRecord q, Engine e) {
-    return e.state == EngineState.UP
+    return e.state == EngineState.UP && now >= e.restUntil
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
         && repeatAllowed(now, q, e)
-        && (now >= e.coldUntil || e.coldWork.sum(now) + coldCost(q) <= coldBudget(now, e));
+        && (now >= e.coldUntil || coldAllowed(now, q, e));
+  }
+
+  /** A share too small for a query sends one in its turn: when the shares of all gateways hold one each. */
+  private boolean coldAllowed(long now, QueryRecord q, Engine e) {
+    double own = coldBudget(now, e);
+    return coldCost(q) <= own ? e.coldWork.sum(now) + coldCost(q) <= own
+        : coldCost(q) <= own * settings.gateways() * COLD_SMALL
+            && now >= e.coldFrom + e.coldPhase * coldTurn(now, q, e);
+  }
+
+  private double coldTurn(long now, QueryRecord q, Engine e) {
+    return settings.rules().fallTime() * coldCost(q) / (coldBudget(now, e) * COLD_PACE);
   }
 
   /** Work that this gateway may send to a cold engine within the rule's time; taken to warm up late. */
@@ -401,25 +404,56 @@
         && now < q.firstRunAt + q.kind.keyWindow() - 2 * settings.tick();
   }
 
+  /** Asks two drawn engines for reports, two others where both are full; few queries keep none fresh. */
+  private boolean ask(long now, QueryRecord q) {
+    boolean found = q.asked.stream().anyMatch(e -> open(now, q, e) && hasRoom(now, q, e));
+    if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
+        || probeCredit < 2) {
+      return false;
+    }
+    q.asked.clear();
+    q.asked.addAll(drawTwo(candidates(now, q)));
+    q.asked.forEach(e -> probe(now, e));
+    q.askedUntil = now + ASK_WAIT;
+    return !q.asked.isEmpty();
+  }
+
+  private boolean asking(long now, QueryRecord q) {
+    return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
+  }
+
+  private boolean reportsTold() {
+    return settings.limits().probes() && settings.traits().reports();
+  }
+
+  /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
+  private boolean reportsKept(long now) {
+    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
+  }
+
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
-    List<Engine> draw = new ArrayList<>();
-    for (Engine e : engines.values()) {
-      if (open(now, q, e) && hasRoom(now, q, e)) {
-        draw.add(e);
-      }
-    }
+    List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
+    long askedAt = q.askedUntil - ASK_WAIT; // one that has not answered since is busy, or worse
+    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && e.reportAt >= askedAt).toList();
+    List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
+    return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
+  }
+
+  private List<Engine> candidates(long now, QueryRecord q) {
+    List<Engine> draw =
+        engines.values().stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
-    boolean join = q.kind.load() && holdsTooMuch(now, q);
-    draw = preferred(draw, e -> heldByLoad(now, q, e) == join);
-    if (draw.size() < 2) {
-      return draw.isEmpty() ? null : draw.get(0);
+    return preferred(draw, e -> loadsThere(now, q, e) == 0);
+  }
+
+  private List<Engine> drawTwo(List<Engine> draw) {
+    if (draw.size() <= 2) {
+      return draw;
     }
     int first = random.nextInt(draw.size());
     int second = random.nextInt(draw.size() - 1);
-    Engine a = draw.get(first);
-    Engine b = draw.get(second < first ? second : second + 1);
-    return load(now, q, a) <= load(now, q, b) ? a : b;
+    return List.of(draw.get(first), draw.get(second < first ? second : second + 1));
   }
 
   private static List<Engine> preferred(List<Engine> engines, Predicate<Engine> wanted) {
@@ -427,39 +461,23 @@
     return some.isEmpty() ? engines : some;
   }
 
-  /** Where others stand still behind loads, those of one group must not hold it everywhere at once. */
-  private boolean holdsTooMuch(long now, QueryRecord q) {
-    long up = engines.values().stream().filter(e -> e.state == EngineState.UP).count();
-    long holding = engines.values().stream().filter(e -> heldByLoad(now, q, e)).count();
-    return loadsHoldUp && holding >= up * LOAD_ENGINES;
-  }
-
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
-    if (e.warm.contains(q.query.group())) {
-      load *= WARM_DISCOUNT;
-    }
     if (e.info.zone() != settings.zone()) {
-      load *= 1 + crossing;
-    }
-    if (q.kind.kinds().isEmpty() && boundKinds.contains(e.info.kind())) {
-      load *= BOUND_KIND;
+      load *= 1 + settings.crossPrice() * CROSS_WEIGHT;
     }
     return load;
   }
 
-  private boolean heldByLoad(long now, QueryRecord q, Engine e) {
-    return (q.kind.load() || q.kind.waitsForLoads()) && loadsThere(now, q, e) > 0;
-  }
-
-  /** Loads of the query's group known at the engine: our own, and one of others while a mark lasts. */
+  /** Loads known at the engine that hold the query up: our own, and one of others while a mark lasts. */
   private int loadsThere(long now, QueryRecord q, Engine e) {
     int group = q.query.group();
-    return e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
+    return !q.kind.load() && !q.kind.waitsForLoads() ? 0
+        : e.loads.getOrDefault(group, 0) + (e.heldGroups.getOrDefault(group, 0L) > now ? 1 : 0);
   }
 
   // ---- Sending ----
@@ -470,25 +488,21 @@
     a.threads = q.kind.threads();
     a.memory = memory(q);
     a.predicted = estimate(q, 1);
-    if (a.number > 0) {
-      extrasInSpan.add(now, 1);
-    }
+    extrasInSpan.add(now, Math.min(a.number, 1));
     setTerms(q);
-    tellPeers(HELD, q, e);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
     e.add(a);
-    e.touch(q.query.group(), WARM_GROUPS);
+    q.asked.clear();
+    pool.add(a);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
+      e.coldFrom = now + (long) coldTurn(now, q, e);
+      e.coldPhase = 0;
     }
-    if (e.out.size() == 1) {
-      e.lastSign = now;
-    }
-    if (e.troubles > 0) { // one query at a time until one is served
-      e.restUntil = now + REST;
-    }
+    e.lastSign = e.out.size() == 1 ? now : e.lastSign;
+    e.restUntil = e.troubles > 0 ? now + REST : e.restUntil; // one query at a time until one is served
   }
 
   /** Grant and priority, where the engines heed them. */
@@ -496,7 +510,7 @@
     Traits traits = settings.traits();
     int priority = dense(q) ? 3 : 1;
     ClassRecord c = classes.get(q.query.queryClass());
-    double grant = traits.grants() && c.memories > 0 ? memory(q) : 0;
+    double grant = traits.grants() && c.memory.count > 0 ? memory(q) : 0;
     if (traits.priorities() && priority != 1 || grant > 0) {
       actions.terms(q.query.id(), grant, priority);
     }
@@ -504,10 +518,9 @@
 
   /** True for the classes that earn clearly more for their work than the usual query. */
   private boolean dense(QueryRecord q) {
-    double worth = classes.stream().mapToDouble(c -> c.kind.worth()).average().orElse(0);
-    double cost = classes.stream().mapToDouble(c -> c.meanCost).average().orElse(0);
+    double cost = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
     ClassRecord c = classes.get(q.query.queryClass());
-    return c.meanCost > 0 && c.kind.worth() / c.meanCost > DENSE * worth / Math.max(cost, 1e-9);
+    return c.cost.value > 0 && c.kind.worth() / c.cost.value > DENSE * meanWorth / Math.max(cost, 1e-9);
   }
 
   // ---- While an attempt is out ----
@@ -534,12 +547,12 @@
     if (note.kind() == NoteKind.LOAD_WAIT) {
       a.engine.heldGroups.put(q.query.group(), now + LOAD_MARK);
       if (canMove(now, a)) {
-        abandon(now, a); // it has done nothing yet, and a load takes long
+        cancel(a); // it has done nothing yet, and a load takes long
       }
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
       if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
-        abandon(now, a);
+        cancel(a);
       }
     }
   }
@@ -556,26 +569,21 @@
         && now + (long) (usual * SECOND) < a.query.deadline;
   }
 
-  /** Cancels an attempt that is worth leaving, so that the query can go elsewhere or be answered. */
-  private void abandon(long now, Attempt a) {
-    QueryRecord q = a.query;
-    if (!q.over && !q.streaming && q.kind.effect() != Effect.UNSAFE) {
-      cancel(a);
-    }
-  }
-
+  /** Gives up an attempt of a query that is over, or that may go elsewhere or be answered. */
   private void cancel(Attempt a) {
-    if (!a.ended && !a.abandoned && settings.limits().cancel()) {
+    QueryRecord q = a.query;
+    boolean free = q.over || !q.streaming && q.kind.effect() != Effect.UNSAFE;
+    if (free && !a.ended && !a.abandoned && settings.limits().cancel()) {
       a.abandoned = true;
-      actions.cancel(a.query.query.id(), a.number);
+      actions.cancel(q.query.id(), a.number);
     }
   }
 
   /** True where another engine can take the query now, within the rules. */
   private boolean canMove(long now, Attempt a) {
     QueryRecord q = a.query;
-    return furtherAllowed(now, q) && engines.values().stream()
-        .anyMatch(e -> e != a.engine && open(now, q, e) && hasRoom(now, q, e) && !heldByLoad(now, q, e));
+    return furtherAllowed(now, q)
+        && candidates(now, q).stream().anyMatch(e -> e != a.engine && loadsThere(now, q, e) == 0);
   }
 
   /** The rule on further attempts, and the most attempts of one query. */
@@ -596,14 +604,15 @@
     Attempt a = q.attempts.get(end.attempt());
     settle(now, q, a, end);
     judge(now, a, end);
+    if (end.outcome() == Outcome.SERVED || end.outcome() == Outcome.FULL) {
+      notePool(end.outcome() == Outcome.FULL);
+    }
     if (end.outcome() == Outcome.SERVED) {
       learn(now, a, end);
     } else if (end.outcome() == Outcome.TIMEOUT) {
       noteStrain(a.engine, 1, cost(q));
     }
-    if (end.over()) {
-      q.over = true;
-    }
+    q.over |= end.over();
     if (!q.over && q.out == 0) {
       goOn(now, q);
     }
@@ -615,14 +624,12 @@
     Engine e = a.engine;
     a.ended = true;
     q.out--;
-    tellPeers(FREE, q, e);
     e.remove(a);
+    pool.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
     }
-    boolean mayRunOn = end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.RESET
-        || end.outcome() == Outcome.CANCELLED;
-    if (q.keyLine != null && mayRunOn) {
+    if (q.keyLine != null && end.outcome().mayRunOn) {
       q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
     }
     noteReport(now, e, end.report());
@@ -638,13 +645,11 @@
     } else if (end.outcome() == Outcome.SERVED) {
       e.errors -= ERROR_WEIGHT * e.errors;
       e.lastSign = now;
-      if (e.errors <= ERRORS_BAD) {
-        e.troubles = 0;
-      }
+      e.troubles = e.errors <= ERRORS_BAD ? 0 : e.troubles;
     } else if (end.outcome() == Outcome.FULL) {
       e.fullUntil = now + FULL_REST;
       e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
-      e.bound = Math.max(widest(), Math.min(e.bound, e.threads) * BOUND_CUT);
+      e.bound = Math.max(widest, Math.min(e.bound, e.threads) * BOUND_CUT);
     }
   }
 
@@ -673,6 +678,7 @@
 
   /** Releases held queries, oldest first; a query that waits for its key holds up nobody else. */
   private void release(long now, boolean all) {
+    noteStall(now);
     boolean blocked = false;
     double ratio = meanRatio();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
@@ -682,7 +688,10 @@
       }
       boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
-      boolean late = now + (long) (left * SECOND) > q.deadline;
+      boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
+      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
+        continue;
+      }
       Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
@@ -753,44 +762,59 @@
       actions.watch();
       return;
     }
-    long stall = now - lastTick - 2 * TICK;
-    if (stall > 0) {
-      // After a stall of this gateway the line has aged unseen: its holding time counts anew from here.
-      held.values().forEach(q -> q.heldUntil += stall);
-    }
+    noteStall(now);
     lastTick = now;
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
     for (Engine e : engines.values()) {
       watchOver(now, e);
-      moveBound(now, e);
+      moveBound(now, e, pressed(now, e));
     }
+    moveBound(now, pool, pool.strain > SLOW || poolSigns > POOL_SIGNS);
     release(now, true);
     actions.timer(TICK, TICK_TOKEN);
   }
 
+  /** After a stall all has aged unseen: holding and silence count anew, the pile-up's reports are old. */
+  private void noteStall(long now) {
+    long stall = now - lastTick - 2 * TICK;
+    if (stall > 0) {
+      held.values().forEach(q -> q.heldUntil += stall);
+      stalledUntil = now;
+      lastTick = now;
+    }
+  }
+
   /** An attempt without a sign is lost: its room is free again, its query goes elsewhere. */
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
+    pool.remove(a);
     noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
-    abandon(now, a);
+    cancel(a);
   }
 
   /** Finds silent engines, and probes those that report on being asked. */
   private void watchOver(long now, Engine e) {
     double period = settings.traits().notePeriod();
-    boolean silent = now - e.lastSign > SILENT_NOTES * period;
-    boolean talks = now - e.lastSign < period;
+    long lastSign = Math.max(e.lastSign, stalledUntil);
+    boolean silent = now - lastSign > SILENT_NOTES * period;
+    boolean talks = now - lastSign < period;
     for (Attempt a : period > 0 ? new ArrayList<>(e.out) : List.<Attempt>of()) {
-      long quiet = now - Math.max(a.sentAt, a.lastNote);
+      long quiet = now - Math.max(stalledUntil, Math.max(a.sentAt, a.lastNote));
       // An engine may lose single queries while it answers the rest: each attempt is judged by its own notes.
       // One that waits for memory tells so once and is then quiet until it runs.
       if (quiet > (talks ? LOST_NOTES : SILENT_NOTES) * period && !(talks && a.inLine)) {
         lose(now, a, silent);
       }
     }
-    boolean inUse = now < e.pressedUntil || e.threads * settings.gateways() >= e.cores * IN_USE;
-    if (settings.limits().probes() && settings.traits().reports() && !e.probing
-        && e.state == EngineState.UP && now - e.probedAt >= (inUse ? PROBE_GAP : CALM_GAP)) {
+    long gap = calm() ? CALM_GAP : PROBE_GAP;
+    if (e.state == EngineState.UP && now - e.probedAt >= gap && reportsTold() && reportsKept(now)) {
+      probe(now, e);
+    }
+  }
+
+  private void probe(long now, Engine e) {
+    if (!e.probing) {
+      probeCredit--;
       e.probing = true;
       e.probedAt = now;
       actions.probe(e.name);
@@ -805,34 +829,14 @@
     }
     e.probing = false;
     noteReport(now, e, answered ? report : null);
+    release(now, false);
   }
 
   private void noteReport(long now, Engine e, Report report) {
-    if (report != null) {
+    if (report != null && now > stalledUntil) {
       e.report = report;
       e.reportAt = now;
-    }
-  }
-
-  @Override
-  public void heard(long now, int peer, byte[] message) {
-    // Which groups a peer's loads hold cannot be seen from here before a query stands still behind one.
-    String[] words = new String(message, StandardCharsets.UTF_8).split(" ");
-    Engine e = words.length == 3 ? engines.get(words[1]) : null;
-    if (e != null && words[2].matches("\\d{1,9}")) {
-      int group = Integer.parseInt(words[2]);
-      if (words[0].equals(HELD)) {
-        e.heldGroups.put(group, now + LOAD_MARK);
-      } else {
-        e.heldGroups.remove(group);
-      }
-    }
-  }
-
-  /** Tells peers of a group held or free again; the mark fades by itself where a message is lost. */
-  private void tellPeers(String word, QueryRecord q, Engine e) {
-    if (q.kind.load() && settings.limits().peers() && settings.gateways() > 1) {
-      actions.tell((word + " " + e.name + " " + q.query.group()).getBytes(StandardCharsets.UTF_8));
+      notePool(busy(report));
     }
   }
 
--- a/src/main/java/reachloom/state/TokenBucket.java
+++ b/src/main/java/reachloom/state/TokenBucket.java
@@ -8,10 +8,10 @@
   private long filledAt;
   private boolean filled;
 
-  /** A bucket of that rate which holds what so many seconds bring; rate 0 sets no limit. */
-  public TokenBucket(double perSecond, double seconds) {
+  /** A bucket of that rate which holds what a second brings, or the given least; rate 0 sets no limit. */
+  public TokenBucket(double perSecond, double least) {
     this.perSecond = perSecond;
-    this.most = Math.max(1, perSecond * seconds);
+    this.most = Math.max(least, perSecond);
   }
 
   /** Takes a token; false where there is none. */
