--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -344,7 +344,7 @@
     if (e == pool && !pressed) {
       return true;
     }
-    if ( now - e.reportAt < REPORT_AGE && busy(e.report)
+    if (!dense(q) && now - e.reportAt < REPORT_AGE && busy(e.report)
         && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
       return false; // it says itself that it is full, and our part of it holds no further query
     }
