--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -67,7 +67,7 @@
   // Guards.
   private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
   private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
-  private static final double COLD_SMALL = 0.25; // ... in one query: few can fall together
+  private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final double CROSS_WEIGHT = 15; // load share for each unit of the price of crossing
@@ -344,7 +344,7 @@
     if (e == pool && !pressed) {
       return true;
     }
-    if (!dense(q) && now - e.reportAt < REPORT_AGE && busy(e.report)
+    if (now - e.reportAt < REPORT_AGE && busy(e.report)
         && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
       return false; // it says itself that it is full, and our part of it holds no further query
     }
