--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -305,7 +305,8 @@
     }
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
-      double least = Math.max(widest, e.cores * floor / settings.gateways());
+      double share = e.cores * floor / settings.gateways();
+      double least = Math.max(widest, share + (e == pool ? Math.sqrt(share * widest) : 0)); // chance evens out there
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
       e.boundChangedAt = now;
     } else if (e.strain < CALM && e.bound < mostThreads(e)) {
