--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -693,7 +693,7 @@
       if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
         continue;
       }
-      Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
+      Engine e = !late && itsTurn && (!blocked || bound || !q.asked.isEmpty()) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
       } else if (late || itsTurn && now >= q.heldUntil) {
