--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -350,6 +350,7 @@
       return false; // it says itself that it is full, and our part of it holds no further query
     }
     boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
+        || e == pool && settings.traits().overbooked() != Overbooked.PAGE
         || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways();
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
