--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -305,8 +305,7 @@
     }
     if (pressed) {
       double floor = e.strain > SLOW ? SLOW_FLOOR : BUSY_FLOOR;
-      double share = e.cores * floor / settings.gateways();
-      double least = Math.max(widest, share + (e == pool ? Math.sqrt(share * widest) : 0)); // chance evens out there
+      double least = Math.max(widest, e.cores * floor / settings.gateways());
       e.bound = Math.max(least, Math.min(e.bound, e.threads + 1) * BOUND_CUT);
       e.boundChangedAt = now;
     } else if (e.strain < CALM && e.bound < mostThreads(e)) {
@@ -350,7 +349,6 @@
       return false; // it says itself that it is full, and our part of it holds no further query
     }
     boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
-        || e == pool && settings.traits().overbooked() != Overbooked.PAGE
         || e.memory + memory(q) <= e.memoryMb * MEMORY_ROOM / settings.gateways();
     return memory && (!pressed || e.threads + 1 <= e.bound * (dense(q) ? DENSE_ROOM : 1));
   }
