--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -462,7 +462,9 @@
   }
 
   private double load(long now, QueryRecord q, Engine e) {
-    double threads = (e.threads + q.kind.threads()) * settings.gateways();
+    // What others have there cannot be told from what we have there: they are taken to have our mean.
+    double others = (settings.gateways() - 1) * pool.threads * e.cores / Math.max(pool.cores, e.cores);
+    double threads = e.threads + q.kind.threads() + others;
     double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
