--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -61,8 +61,6 @@
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
-  private static final double FAR_BEHIND = 3; // times the time that is usual: one sign is all a gateway may get
-  private static final long SLOW_REST = 5_000 * MILLISECOND; // drawn last for so long
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
@@ -262,20 +260,12 @@
     }
   }
 
-  /** An attempt far behind what is usual in the pool makes its engine drawn last for a while. */
-  private void noteSlow(long now, Attempt a, double time) {
-    if (time > FAR_BEHIND * a.predicted * meanRatio()) {
-      a.engine.slowUntil = now + SLOW_REST;
-    }
-  }
-
   /** Learns from an answer what its class takes and how its engine compares. */
   private void learn(long now, Attempt a, AttemptEnd end) {
     QueryRecord q = a.query;
     ClassRecord c = classes.get(q.query.queryClass());
     Engine e = a.engine;
     double time = seconds(end.spent());
-    noteSlow(now, a, time);
     if (end.costMs() > 0 && q.query.cost() <= 0) {
       c.cost.add(end.costMs() / 1e3, LEARN_WEIGHT);
     }
@@ -453,7 +443,7 @@
   private List<Engine> candidates(long now, QueryRecord q) {
     List<Engine> draw =
         engines.values().stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
-    draw = preferred(draw, e -> !q.triedOn(e) && now >= e.slowUntil);
+    draw = preferred(draw, e -> !q.triedOn(e));
     return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
 
@@ -561,7 +551,6 @@
       }
     } else if (note.kind() == NoteKind.PROGRESS) {
       a.share = note.amount();
-      noteSlow(now, a, seconds(now - a.sentAt));
       if (a.query.kind.effect() == Effect.SAFE && badPlan(now, a) && canMove(now, a)) {
         cancel(a);
       }
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -37,8 +37,6 @@
   public double errors;
   public int troubles;
   public long restUntil;
-  /** Until when it is drawn last. */
-  public long slowUntil;
   public long lastSign;
   public long coldUntil;
   public SlidingSum coldWork;
