--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -344,7 +344,7 @@
     if (e == pool && !pressed) {
       return true;
     }
-    if ( now - e.reportAt < REPORT_AGE && busy(e.report)
+    if (now - e.reportAt < REPORT_AGE && busy(e.report)
         && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
       return false; // it says itself that it is full, and our part of it holds no further query
     }
@@ -692,7 +692,7 @@
       if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
         continue;
       }
-      Engine e = !late && itsTurn && (!blocked || bound) ? pick(now, q) : null;
+      Engine e = !late && itsTurn && (!blocked || bound || !q.asked.isEmpty()) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
       } else if (late || itsTurn && now >= q.heldUntil) {
