--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -493,8 +493,8 @@
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
     q.out++;
-    e.add(a);
     q.asked.clear();
+    e.add(a);
     pool.add(a);
     if (now < e.coldUntil) {
       e.coldWork.add(now, coldCost(q));
@@ -686,19 +686,20 @@
       if (!itsTurn) { // the wait for its key is no wait for room
         q.heldUntil = holdUntil(now, q);
       }
-      boolean bound = !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
+      // Bound queries wait for other engines than the front, those that have asked waited only for reports.
+      boolean own = !q.asked.isEmpty() || !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
       boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
       if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
         continue;
       }
-      Engine e = !late && itsTurn && (!blocked || bound || !q.asked.isEmpty()) ? pick(now, q) : null;
+      Engine e = !late && itsTurn && (!blocked || own) ? pick(now, q) : null;
       if (e != null && (q.attempts.isEmpty() || furtherAllowed(now, q))) {
         send(now, q, e);
       } else if (late || itsTurn && now >= q.heldUntil) {
         giveUp(now, q);
       } else {
-        blocked |= itsTurn && !bound;
+        blocked |= itsTurn && !own;
       }
     }
   }
