--- a/src/test/java/reachloom/ChoiceTest.java
+++ b/src/test/java/reachloom/ChoiceTest.java
@@ -20,6 +20,7 @@
 import reachloom.Decisions.Note;
 import reachloom.Decisions.NoteKind;
 import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
 import reachloom.Decisions.Scope;
 import reachloom.Decisions.Tenant;
 
@@ -489,6 +490,19 @@
     assertEquals(List.of("send q " + probes.get(1).substring("probe ".length())), b.take());
   }
 
+  @Test
+  void doesNotAskForAQueryWithHardlyAnyTimeLeft() {
+    Bench b = new Bench();
+    b.gateways = 300;
+    b.reports = true;
+    b.start(pool(30, 0));
+    b.arrive("usual", QUICK, 0.1);
+    b.pass(50 * MS);
+    b.take();
+    b.choice.arrive(b.now, new Query("late", QUICK, 0, null, 45 * MS, MS, 100, 3, true));
+    assertEquals(1, count(b.take(), "send late "), "a reply may come after its deadline, so it goes at once");
+  }
+
   @Test
   void asksTwoOthersWhereBothAreFull() {
     Bench b = new Bench();
