--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -83,7 +83,6 @@
   private long stalledUntil;
   private long taken;
   private int widest;
-  private boolean loadsHoldUp;
   private double probeCredit;
   private double meanWorth;
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
@@ -111,7 +110,6 @@
     random = new SplittableRandom(seed);
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
-    loadsHoldUp = s.classes().stream().anyMatch(QueryClass::waitsForLoads);
     widest = s.classes().stream().mapToInt(QueryClass::threads).max().orElse(1);
     meanWorth = s.classes().stream().mapToDouble(QueryClass::worth).average().orElse(0);
     takenInSpan = new SlidingSum(s.rules().lookBack() - 2 * s.tick());
@@ -446,11 +444,6 @@
     List<Engine> draw =
         engines.values().stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
-    if (q.kind.load() && loadsHoldUp) { // other gateways' loads of the group are not known: all go round by the clock
-      int turns = Math.max(1, draw.size() / 2);
-      long turn = (long) (seconds(now) / classes.get(q.query.queryClass()).time.value * turns) + q.query.group();
-      draw = preferred(draw, e -> Math.floorMod(e.name.hashCode() + turn, turns) == 0);
-    }
     return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
 
