One check for a busy report and one for room; drop what is no longer read

Behaviour as before. The age of a report is judged in busy(), openness in hasRoom(); warm groups are kept no more; first sends are no longer booked as further ones; a sliding sum drops what is past when it is added to, since some of them are never asked for.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -326,16 +326,17 @@
 
   /** The three signs of pressure: slow latency, a busy report, a full refusal. */
   private boolean pressed(long now, Engine e) {
-    return e.strain > SLOW || now < e.fullUntil || now - e.reportAt < REPORT_AGE && busy(e.report);
+    return e.strain > SLOW || now < e.fullUntil || busy(now, e);
   }
 
-  private static boolean busy(Report r) {
+  private static boolean busy(long now, Engine e) {
+    Report r = now - e.reportAt < REPORT_AGE ? e.report : null;
     return r != null && (r.util() > BUSY || r.queue() >= 1 || r.memoryShare() > BUSY || r.diskShare() > BUSY);
   }
 
-  /** No room where the query would stand still behind loads, or pile up there. */
+  /** Open, and with room; none where the query would stand still behind loads, or pile up there. */
   private boolean hasRoom(long now, QueryRecord q, Engine e) {
-    return loadsThere(now, q, e) < (q.kind.load() ? LOAD_LINE : 1) && fits(now, q, e);
+    return open(now, q, e) && loadsThere(now, q, e) < (q.kind.load() ? LOAD_LINE : 1) && fits(now, q, e);
   }
 
   /** The bound, that of the whole pool, too, binds only under pressure; memory counts as room besides. */
@@ -344,8 +345,7 @@
     if (e == pool && !pressed) {
       return true;
     }
-    if (now - e.reportAt < REPORT_AGE && busy(e.report)
-        && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
+    if (busy(now, e) && e.threads + q.kind.threads() > e.cores * BUSY_FLOOR / settings.gateways()) {
       return false; // it says itself that it is full, and our part of it holds no further query
     }
     boolean memory = e.memoryMb <= 0 || e.out.isEmpty()
@@ -406,7 +406,7 @@
 
   /** Asks two drawn engines for reports, two others where both are full; few queries keep none fresh. */
   private boolean ask(long now, QueryRecord q) {
-    boolean found = q.asked.stream().anyMatch(e -> open(now, q, e) && hasRoom(now, q, e));
+    boolean found = q.asked.stream().anyMatch(e -> hasRoom(now, q, e));
     if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
         || probeCredit < 2) {
       return false;
@@ -441,8 +441,7 @@
   }
 
   private List<Engine> candidates(long now, QueryRecord q) {
-    List<Engine> draw =
-        engines.values().stream().filter(e -> open(now, q, e) && hasRoom(now, q, e)).toList();
+    List<Engine> draw = engines.values().stream().filter(e -> hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
     return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
@@ -488,7 +487,9 @@
     a.threads = q.kind.threads();
     a.memory = memory(q);
     a.predicted = estimate(q, 1);
-    extrasInSpan.add(now, Math.min(a.number, 1));
+    if (a.number > 0) {
+      extrasInSpan.add(now, 1);
+    }
     setTerms(q);
     actions.send(q.query.id(), e.name, 0);
     q.attempts.add(a);
@@ -837,7 +838,7 @@
     if (report != null && now > stalledUntil) {
       e.report = report;
       e.reportAt = now;
-      notePool(busy(report));
+      notePool(busy(now, e));
     }
   }
 
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -24,8 +24,6 @@
   public final Map<Integer, Integer> loads = new LinkedHashMap<>();
   /** Until when a load of somebody else is taken to hold a table group. */
   public final Map<Integer, Long> heldGroups = new LinkedHashMap<>();
-  /** Table groups read last, the latest at the end. */
-  public final Set<Integer> warm = new LinkedHashSet<>();
 
   public double bound;
   public double ratio = 1;
@@ -74,13 +72,4 @@
       }
     }
   }
-
-  /** Notes that a table group was read, and forgets the oldest beyond the limit. */
-  public void touch(int group, int limit) {
-    warm.remove(group);
-    warm.add(group);
-    if (warm.size() > limit) {
-      warm.remove(warm.iterator().next());
-    }
-  }
 }
--- a/src/main/java/reachloom/state/SlidingSum.java
+++ b/src/main/java/reachloom/state/SlidingSum.java
@@ -18,6 +18,7 @@
 
   /** Adds a value at the present time. */
   public void add(long now, double value) {
+    sum(now); // drops what is past, also where the sum is never asked for
     entries.addLast(new Entry(now, value));
     sum += value;
   }
