--- a/src/main/java/reachloom/Main.java
+++ b/src/main/java/reachloom/Main.java
@@ -2,39 +2,100 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import reachloom.benchlink.BenchLink;
+import reachloom.config.ConfigException;
+import reachloom.config.GatewayConfig;
+import reachloom.gateway.lifecycle.Server;
 
-/** Entry point: picks the front by its sub-command. */
+/** Entry point: picks what is to be run by its sub-command. */
 public final class Main {
-  private static final String USAGE = String.join(System.lineSeparator(),
-      "usage: reachloom COMMAND",
+  private static final int OK = 0;
+  private static final int BAD_USE = 2;
+  private static final int COLUMNS = 100;
+  private static final String COMMANDS = String.join(System.lineSeparator(),
       "",
       "commands:",
-      "  benchlink   decide for many gateways on the simulator's wire (standard input and output)",
-      "  --help      print this text");
+      "  serve               one gateway on sockets, configured by the file that LB_CONFIG names",
+      "  benchlink           decide for many gateways on the simulator's wire (standard input and output)",
+      "  check-config FILE   read a configuration file and say what is wrong with it",
+      "  version             print the version",
+      "",
+      "options:");
 
   private Main() {
   }
 
   /** Runs one sub-command and exits with its status. */
-  public static void main(String[] args) throws IOException {
+  public static void main(String[] args) throws IOException, InterruptedException {
     int status = run(args, System.out, System.err);
     System.out.flush();
     System.exit(status);
   }
 
-  static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
-    String command = args.length == 1 ? args[0] : "";
-    return switch (command) {
-      case "benchlink" -> new BenchLink(err).serve(System.in, out);
-      case "--help", "-h", "help" -> {
-        out.println(USAGE);
-        yield 0;
-      }
-      default -> {
-        err.println(USAGE);
-        yield 2;
+  static int run(String[] args, PrintStream out, PrintStream err) throws IOException, InterruptedException {
+    Options options = new Options().addOption("h", "help", false, "print this text");
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(options, args);
+    } catch (ParseException e) {
+      err.println("reachloom: " + e.getMessage());
+      usage(options, err);
+      return BAD_USE;
+    }
+    List<String> words = line.getArgList();
+    String command = words.isEmpty() ? "" : words.get(0);
+    int expected = command.equals("check-config") ? 2 : 1;
+    if (line.hasOption("help") || command.equals("help")) {
+      usage(options, out);
+      return OK;
+    }
+    if (words.size() != expected) {
+      usage(options, err);
+      return BAD_USE;
+    }
+    try {
+      switch (command) {
+        case "serve" -> {
+          return new Server(GatewayConfig.fromEnvironment(System.getenv())).run();
+        }
+        case "benchlink" -> {
+          return new BenchLink(err).serve(System.in, out);
+        }
+        case "check-config" -> {
+          GatewayConfig config = GatewayConfig.fromFile(Path.of(words.get(1)), Map.of());
+          out.println(words.get(1) + ": good; " + config.name() + " at " + config.listen() + ", "
+              + config.known().size() + " engines known, " + config.names().classes().size() + " classes");
+          return OK;
+        }
+        case "version" -> {
+          String version = Main.class.getPackage().getImplementationVersion();
+          out.println("reachloom " + (version == null ? "unpackaged" : version));
+          return OK;
+        }
+        default -> {
+          usage(options, err);
+          return BAD_USE;
+        }
       }
-    };
+    } catch (ConfigException e) {
+      err.println("reachloom: " + e.getMessage());
+      return BAD_USE;
+    }
+  }
+
+  private static void usage(Options options, PrintStream to) {
+    PrintWriter writer = new PrintWriter(to);
+    HelpFormatter help = new HelpFormatter();
+    help.printHelp(writer, COLUMNS, "reachloom COMMAND", COMMANDS, options, 1, 2, "");
+    writer.flush();
   }
 }
--- a/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/src/main/java/reachloom/benchlink/BenchLink.java
@@ -30,6 +30,7 @@
 import reachloom.Decisions.Outcome;
 import reachloom.Decisions.Query;
 import reachloom.Decisions.Report;
+import reachloom.config.SettingsReader;
 
 /** The simulator's wire: batches of events in, one reply each out, for many instances at once. */
 public final class BenchLink {
--- a/src/main/java/reachloom/benchlink/SettingsReader.java
+++ b/src/main/java/reachloom/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package reachloom.benchlink;
+package reachloom.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -16,7 +16,7 @@
 import reachloom.Decisions.Traits;
 
 /** Reads the settings object of a starting instance. Absent settings mean "none" or "not allowed". */
-final class SettingsReader {
+public final class SettingsReader {
   private static final Map<String, Effect> EFFECTS =
       Map.of("repeatable", Effect.SAFE, "by_key", Effect.KEYED, "once", Effect.UNSAFE);
   private static final Map<String, Scope> SCOPES =
@@ -27,7 +27,30 @@
   private SettingsReader() {
   }
 
-  static Settings read(JsonNode root) {
+  /** The settings in that object, or what is wrong with them: a reference to a kind or zone not listed. */
+  public static Settings checked(JsonNode root) throws ConfigException {
+    int index = 0;
+    for (JsonNode c : root.path("classes")) {
+      String where = "settings.classes[" + index++ + "].";
+      references(c, "allowedOn", root.path("kinds").size(), where);
+      references(c, "runsIn", root.path("zones").size(), where);
+      if (c.path("giveUp").asLong() <= 0) {
+        throw new ConfigException(where + "giveUp: is not a number above 0");
+      }
+    }
+    return read(root);
+  }
+
+  private static void references(JsonNode c, String key, int size, String where) throws ConfigException {
+    for (JsonNode place : c.path(key)) {
+      if (!place.isIntegralNumber() || place.asInt() < 0 || place.asInt() >= size) {
+        throw new ConfigException(where + key + ": " + place + " is not in the settings' list");
+      }
+    }
+  }
+
+  /** The settings in that object. */
+  public static Settings read(JsonNode root) {
     JsonNode special = root.path("specifics");
     JsonNode prices = root.path("deductions");
     return new Settings(Math.max(1, root.path("balancers").asInt()), root.path("selfIndex").asInt(),
--- /dev/null
+++ b/src/main/java/reachloom/config/package-info.java
@@ -0,0 +1,2 @@
+/** The one place where configuration is read, checked and given defaults. */
+package reachloom.config;
--- /dev/null
+++ b/src/main/java/reachloom/gateway/ChangeLog.java
@@ -0,0 +1,140 @@
+package reachloom.gateway;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.gateway.tables.Deadlines.Deadline;
+import reachloom.gateway.wire.Change;
+import reachloom.gateway.wire.ChangeLogDecoder;
+import reachloom.gateway.wire.DecodingHandler;
+import reachloom.gateway.wire.Listener;
+import reachloom.gateway.wire.Sockets;
+
+/** Follows the change log from the last event held; the list held stays while it is away. */
+final class ChangeLog {
+  private static final Logger LOG = System.getLogger(ChangeLog.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final AttributeKey ROUND = new AttributeKey(ChangeLog.class, "round");
+  /** A frame comes each second at least: silence for longer is a break. */
+  private static final long MOST_SILENCE = 2_500 * MILLISECOND;
+  private static final long DIAL_TIMEOUT = 500 * MILLISECOND;
+  private static final long FIRST_PAUSE = 100 * MILLISECOND;
+  private static final long LONGEST_PAUSE = 1_000 * MILLISECOND;
+
+  private final Loop loop;
+  private final InetSocketAddress address;
+  private final NioSocketConnector connector;
+  private final SplittableRandom random;
+  private final Consumer<Change> news;
+  private final Runnable away;
+  private long last;
+  private long pause = FIRST_PAUSE;
+  /** Numbers connections, so that one given up is no longer listened to. */
+  private long round;
+  private IoSession session;
+  private ConnectFuture dialling;
+  private Deadline silence;
+
+  ChangeLog(Loop loop, Sockets sockets, InetSocketAddress address, long last, long seed, int zones, int kinds,
+      Consumer<Change> news, Runnable away) {
+    this.loop = loop;
+    this.address = address;
+    this.last = last;
+    this.random = new SplittableRandom(seed);
+    this.news = news;
+    this.away = away;
+    connector = sockets.connector(
+        new DecodingHandler<>("change log", () -> new ChangeLogDecoder(zones, kinds), new Heard()));
+  }
+
+  void connect() {
+    long mine = ++round;
+    dialling = connector.connect(address, (s, f) -> s.setAttribute(ROUND, mine));
+    ConnectFuture future = dialling;
+    future.addListener(f -> {
+      if (!future.isConnected()) {
+        loop.post(0, () -> broken(mine, "no connection"));
+      }
+    });
+    watch(DIAL_TIMEOUT, "no connection in time");
+  }
+
+  private void watch(long time, String why) {
+    loop.deadlines().cancel(silence);
+    long mine = round;
+    silence = loop.deadlines().add(loop.now() + time, () -> broken(mine, why));
+  }
+
+  private void broken(long mine, String why) {
+    if (mine != round) {
+      return;
+    }
+    LOG.log(Level.INFO, "change log at {0}: {1}; the list of event {2} stays", address, why,
+        Long.toString(last));
+    round++;
+    loop.deadlines().cancel(silence);
+    if (session != null) {
+      session.closeNow();
+      session = null;
+    } else if (dialling != null) {
+      Sockets.giveUp(dialling);
+    }
+    // Half of it by chance, so that gateways that lost it together come back one by one.
+    long wait = pause / 2 + random.nextLong(pause / 2 + 1);
+    pause = Math.min(LONGEST_PAUSE, pause * 2);
+    loop.deadlines().add(loop.now() + wait, this::connect);
+    away.run();
+  }
+
+  private void heard(Change change) {
+    pause = FIRST_PAUSE;
+    watch(MOST_SILENCE, "silent");
+    if (change.nothing() || change.number() <= last) {
+      return; // a sign of life, or an event told before
+    }
+    if (!change.whole() && change.number() > last + 1) {
+      broken(round, "event " + change.number() + " after " + last);
+      return;
+    }
+    last = change.number();
+    news.accept(change);
+  }
+
+  private final class Heard implements Listener<Change> {
+    @Override
+    public void opened(IoSession s) {
+      long mine = (Long) s.getAttribute(ROUND);
+      loop.post(0, () -> {
+        if (mine != round) {
+          s.closeNow();
+          return;
+        }
+        session = s;
+        Sockets.write(s, ChangeLogDecoder.hello(last));
+        watch(MOST_SILENCE, "silent");
+      });
+    }
+
+    @Override
+    public void received(IoSession s, Change change, int bytes) {
+      long mine = (Long) s.getAttribute(ROUND);
+      loop.post(bytes, () -> {
+        if (mine == round) {
+          heard(change);
+        }
+      });
+    }
+
+    @Override
+    public void closed(IoSession s) {
+      long mine = (Long) s.getAttribute(ROUND);
+      loop.post(0, () -> broken(mine, "closed"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -0,0 +1,445 @@
+package reachloom.gateway;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.future.WriteFuture;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Report;
+import reachloom.config.GatewayConfig.Names;
+import reachloom.config.GatewayConfig.Transport;
+import reachloom.config.Member;
+import reachloom.gateway.tables.Attempt;
+import reachloom.gateway.tables.Link;
+import reachloom.gateway.tables.Reach;
+import reachloom.gateway.tables.Slots;
+import reachloom.gateway.wire.Bytes;
+import reachloom.gateway.wire.DecodingHandler;
+import reachloom.gateway.wire.Listener;
+import reachloom.gateway.wire.NodeAnswer;
+import reachloom.gateway.wire.NodeDecoder;
+import reachloom.gateway.wire.NodeWriter;
+import reachloom.gateway.wire.Numbers;
+import reachloom.gateway.wire.Sockets;
+
+/** Connections to engines, and the attempts and probes on them. Connections belong to engines by name. */
+final class Engines {
+  private static final Logger LOG = System.getLogger(Engines.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final AttributeKey LINK = new AttributeKey(Engines.class, "link");
+  /** Idle connections go at this share of the engine's own limit, so that no request crosses its close. */
+  private static final double IDLE_SHARE = 0.8;
+  private static final int MOST_RESULT = 48_000;
+  private static final int MOST_PAGES = 1024;
+  private static final int MOST_LINKS = 8; // for each engine
+
+  /** Hears what becomes of attempts and probes; on the loop's thread. */
+  interface Watcher {
+    void ended(Attempt attempt, Outcome outcome);
+
+    void noted(Attempt attempt, NoteKind kind, double amount);
+
+    void probed(String engine, boolean answered, Report report);
+  }
+
+  private final class Peer {
+    private Member member;
+    private final List<Link> links = new ArrayList<>();
+  }
+
+  private final Loop loop;
+  private final Watcher watcher;
+  private final Transport transport;
+  private final boolean reports;
+  private final NioSocketConnector connector;
+  private final Slots<Link> table;
+  private final Map<String, Peer> peers = new LinkedHashMap<>();
+  private long probeCount;
+
+  Engines(Loop loop, Sockets sockets, Watcher watcher, Transport transport, Names names, boolean reports,
+      int mostLinks) {
+    this.loop = loop;
+    this.watcher = watcher;
+    this.transport = transport;
+    this.reports = reports;
+    this.table = new Slots<>(mostLinks);
+    this.connector = sockets.connector(new DecodingHandler<>("engine", NodeDecoder::new, new Heard()));
+  }
+
+  // ---- The list of engines ----
+
+  /** Takes over what the list tells; a process that has started anew gets connections of its own. */
+  void update(boolean whole, List<Member> members) {
+    if (whole) {
+      List<String> named = members.stream().map(m -> m.info().name()).toList();
+      peers.forEach((name, peer) -> {
+        if (!named.contains(name)) {
+          peer.member = null;
+        }
+      });
+    }
+    for (Member m : members) {
+      Peer peer = peers.computeIfAbsent(m.info().name(), n -> new Peer());
+      peer.member = m.info().state() == EngineState.GONE ? null : m;
+      for (Link l : List.copyOf(peer.links)) {
+        if (l.since < m.info().since()) {
+          close(l);
+        }
+      }
+    }
+    List.copyOf(peers.values()).stream().filter(p -> p.member == null)
+        .forEach(p -> List.copyOf(p.links).stream().filter(Link::unused).forEach(this::close));
+    peers.values().removeIf(p -> p.member == null && p.links.isEmpty());
+  }
+
+  // ---- Attempts ----
+
+  /** Brings an attempt to its engine; what becomes of it is told later, never within this call. */
+  void send(Attempt a) {
+    Peer peer = peers.get(a.engine);
+    Link link = peer == null || peer.member == null ? null : link(peer, a);
+    if (link == null) {
+      loop.later(() -> end(a, Outcome.UNREACHED));
+      return;
+    }
+    a.link = link;
+    link.open.put(a.request.id, a);
+    touch(link);
+    if (link.session != null) {
+      ask(a);
+    }
+  }
+
+  /** A connection with room, which no earlier attempt of the request used: late answers can't be mixed up. */
+  private Link link(Peer peer, Attempt a) {
+    Link best = null;
+    for (Link l : peer.links) {
+      boolean fresh = a == null || a.request.attempts.stream().noneMatch(o -> o.link == l);
+      if (fresh && l.open.size() < transport.streamsPerConn() && (best == null || better(l, best))) {
+        best = l;
+      }
+    }
+    boolean want = best == null || best.suspect;
+    Link dialled = want && peer.links.size() < MOST_LINKS ? dial(peer) : null;
+    return dialled != null ? dialled : best;
+  }
+
+  /** First those that are not silent, then those that are up, then the least used. */
+  private static boolean better(Link l, Link other) {
+    if (l.suspect != other.suspect) {
+      return !l.suspect;
+    }
+    if ((l.session == null) != (other.session == null)) {
+      return l.session != null;
+    }
+    return l.open.size() < other.open.size();
+  }
+
+  private void ask(Attempt a) {
+    long now = loop.now();
+    long budget = Math.max(1, (a.until - now) / MILLISECOND);
+    a.reach = Reach.NOT_WHOLE;
+    WriteFuture written = Sockets.write(a.link.session,
+        NodeWriter.ask(a.request.id, a.request.queryClass, budget, a.request.key, a.request.priority,
+            new Bytes(a.request.frame, a.request.from, a.request.length)));
+    written.addListener(f -> {
+      if (written.isWritten()) {
+        loop.post(0, () -> a.reach = a.reach == Reach.NOT_WHOLE ? Reach.OUT : a.reach);
+      }
+    });
+  }
+
+  /** Gives up an attempt that has not ended: the engine is told, and its answer is no longer known here. */
+  void withdraw(Attempt a) {
+    Link l = a.link;
+    if (l == null || l.open.get(a.request.id) != a) {
+      return;
+    }
+    l.open.remove(a.request.id);
+    if (a.reach != Reach.NOT_CONNECTED) {
+      l.suspect |= l.lastHeard < a.sentAt;
+      write(l, a.reach == Reach.ANSWERING ? NodeWriter.free(a.request.id) : NodeWriter.quit(a.request.id));
+    }
+    rest(l);
+  }
+
+  /** Sets the priority of an attempt that is out. */
+  void priority(Attempt a, int priority) {
+    if (a.link != null && !a.ended && (a.reach == Reach.OUT || a.reach == Reach.NOT_WHOLE)) {
+      write(a.link, NodeWriter.priority(a.request.id, priority));
+    }
+  }
+
+  private void end(Attempt a, Outcome outcome) {
+    if (a.link != null) {
+      a.link.open.remove(a.request.id, a);
+      rest(a.link);
+    }
+    watcher.ended(a, outcome);
+  }
+
+  // ---- Probes ----
+
+  /** Asks an engine how it is. */
+  void probe(String engine) {
+    Peer peer = peers.get(engine);
+    Link link = peer == null || peer.member == null ? null : link(peer, null);
+    if (link == null) {
+      loop.later(() -> watcher.probed(engine, false, null));
+      return;
+    }
+    String tag = "p" + probeCount++;
+    link.probes.put(tag, loop.deadlines().add(loop.now() + transport.dialTimeout(),
+        () -> probed(link, tag, false, null)));
+    touch(link);
+    if (link.session != null) {
+      write(link, NodeWriter.probe(tag, reports));
+    }
+  }
+
+  private void probed(Link l, String tag, boolean answered, Report report) {
+    if (l.probes.containsKey(tag)) {
+      loop.deadlines().cancel(l.probes.remove(tag));
+      rest(l);
+      watcher.probed(l.engine, answered, report);
+    }
+  }
+
+  // ---- Connections ----
+
+  private Link dial(Peer peer) {
+    Link l = new Link(peer.member.info().name(), peer.member.info().since());
+    l.handle = table.add(l);
+    if (l.handle == Slots.NONE) {
+      return null;
+    }
+    peer.links.add(l);
+    InetSocketAddress address = peer.member.address();
+    ConnectFuture future =
+        connector.connect(address, (session, f) -> session.setAttribute(LINK, l.handle));
+    l.dial = loop.deadlines().add(loop.now() + transport.dialTimeout(), () -> {
+      LOG.log(Level.INFO, "engine {0} at {1}: no connection in time", l.engine, address);
+      Sockets.giveUp(future);
+      close(l);
+    });
+    future.addListener(f -> {
+      if (!future.isConnected() && !future.isCanceled()) {
+        loop.post(0, () -> {
+          LOG.log(Level.DEBUG, "engine {0} at {1}: {2}", l.engine, address, future.getException());
+          close(l);
+        });
+      }
+    });
+    return l;
+  }
+
+  private void up(Link l, IoSession session) {
+    if (l == null || l.closed) {
+      session.closeNow();
+      return;
+    }
+    loop.deadlines().cancel(l.dial);
+    l.session = session;
+    l.lastHeard = loop.now();
+    l.open.values().forEach(this::ask);
+    l.probes.keySet().forEach(tag -> write(l, NodeWriter.probe(tag, reports)));
+    rest(l);
+  }
+
+  private void touch(Link l) {
+    loop.deadlines().cancel(l.idle);
+    l.idle = null;
+  }
+
+  /** A connection on which nothing is open is closed when it is silent, or idle for long. */
+  private void rest(Link l) {
+    if (l.closed || !l.unused() || l.session == null) {
+      return;
+    }
+    Peer peer = peers.get(l.engine);
+    if (l.suspect || peer == null || peer.member == null) {
+      close(l);
+      return;
+    }
+    touch(l);
+    l.idle = loop.deadlines().add(loop.now() + (long) (transport.keepalive() * IDLE_SHARE), () -> close(l));
+  }
+
+  /** Ends a connection: what is open on it ends as far as it has come. */
+  private void close(Link l) {
+    if (l.closed) {
+      return;
+    }
+    l.closed = true;
+    table.remove(l.handle);
+    loop.deadlines().cancel(l.dial);
+    touch(l);
+    Peer peer = peers.get(l.engine);
+    if (peer != null) {
+      peer.links.remove(l);
+      if (peer.member == null && peer.links.isEmpty()) {
+        peers.remove(l.engine);
+      }
+    }
+    if (l.session != null) {
+      l.session.closeOnFlush(); // commands that give requests up go out first
+    }
+    List<Attempt> open = List.copyOf(l.open.values());
+    List<String> tags = List.copyOf(l.probes.keySet());
+    l.open.clear();
+    for (Attempt a : open) {
+      loop.later(() -> watcher.ended(a, a.reach.broken));
+    }
+    for (String tag : tags) {
+      loop.deadlines().cancel(l.probes.remove(tag));
+      loop.later(() -> watcher.probed(l.engine, false, null));
+    }
+  }
+
+  private void write(Link l, java.nio.ByteBuffer bytes) {
+    if (l.session != null && !l.closed) {
+      Sockets.write(l.session, bytes);
+    }
+  }
+
+  // ---- What engines say ----
+
+  private final class Heard implements Listener<NodeAnswer> {
+    @Override
+    public void opened(IoSession session) {
+      long handle = (Long) session.getAttribute(LINK);
+      loop.post(0, () -> up(table.get(handle), session));
+    }
+
+    @Override
+    public void received(IoSession session, NodeAnswer answer, int bytes) {
+      long handle = (Long) session.getAttribute(LINK);
+      loop.post(bytes, () -> {
+        Link l = table.get(handle);
+        if (l != null) {
+          heard(l, answer);
+        }
+      });
+    }
+
+    @Override
+    public void closed(IoSession session) {
+      long handle = (Long) session.getAttribute(LINK);
+      loop.post(0, () -> {
+        Link l = table.get(handle);
+        if (l != null) {
+          close(l);
+        }
+      });
+    }
+  }
+
+  private void heard(Link l, NodeAnswer answer) {
+    l.lastHeard = loop.now();
+    l.suspect = false;
+    Report report = report(answer.fields().get("use"));
+    if (l.probes.containsKey(answer.id())) {
+      switch (answer.word()) {
+        case UP, DOWN -> probed(l, answer.id(), answer.word() == NodeAnswer.Word.UP, report);
+        default -> LOG.log(Level.WARNING, "engine {0} answers a probe with {1}", l.engine, answer.word());
+      }
+      return;
+    }
+    Attempt a = l.open.get(answer.id());
+    if (a == null) {
+      return; // the answer to a request given up, or to none
+    }
+    if (a.reach == Reach.NOT_WHOLE) {
+      a.reach = Reach.OUT; // only what has come whole is answered
+    }
+    a.report = report != null ? report : a.report;
+    switch (answer.word()) {
+      case OK -> firstPage(l, a, answer);
+      case ROWS -> furtherPage(l, a, answer);
+      case BUSY -> end(a, Outcome.FULL);
+      case ERR -> end(a, Outcome.ERROR);
+      case VOID -> end(a, Outcome.NOT_SENT); // over before it came: it never ran, and no engine is at fault
+      case NOTE -> note(a, answer);
+      default -> LOG.log(Level.WARNING, "engine {0} answers a request with {1}", l.engine, answer.word());
+    }
+  }
+
+  private void firstPage(Link l, Attempt a, NodeAnswer answer) {
+    long count = Numbers.whole(answer.fields().getOrDefault("fetches", "1"), -1);
+    if (!a.pages.isEmpty() || count < 1 || count > MOST_PAGES) {
+      unreadable(l, a, "a result of " + answer.fields().get("fetches") + " pages, or a second one");
+      return;
+    }
+    a.reach = Reach.ANSWERING;
+    a.pageCount = (int) count;
+    a.costMs = Math.round(Numbers.real(answer.fields().get("effort"), 0));
+    a.memoryMb = Numbers.real(answer.fields().get("high"), 0);
+    page(l, a, answer.body());
+  }
+
+  private void furtherPage(Link l, Attempt a, NodeAnswer answer) {
+    if (a.pages.isEmpty() || Numbers.whole(answer.fields().get("fetch_no"), -1) != a.pages.size()) {
+      unreadable(l, a, "page " + answer.fields().get("fetch_no") + " out of turn");
+      return;
+    }
+    page(l, a, answer.body());
+  }
+
+  private void page(Link l, Attempt a, byte[] body) {
+    a.pages.add(body);
+    a.size += body.length;
+    if (a.size > MOST_RESULT) {
+      unreadable(l, a, "a result of more than " + MOST_RESULT + " bytes");
+    } else if (a.pages.size() < a.pageCount) {
+      write(l, NodeWriter.next(a.request.id, a.pages.size()));
+    } else {
+      if (a.pageCount > 1) {
+        write(l, NodeWriter.free(a.request.id));
+      }
+      end(a, Outcome.SERVED);
+    }
+  }
+
+  /** A result that can't be passed on: it has run, and is an error here. */
+  private void unreadable(Link l, Attempt a, String what) {
+    LOG.log(Level.WARNING, "engine {0} sent {1}", l.engine, what);
+    write(l, NodeWriter.free(a.request.id));
+    end(a, Outcome.ERROR);
+  }
+
+  private void note(Attempt a, NodeAnswer answer) {
+    double amount = Numbers.real(answer.fields().get("figure"), 0);
+    NoteKind kind = switch (answer.fields().getOrDefault("detail", "")) {
+      case "so_far" -> NoteKind.PROGRESS;
+      case "lacking" -> NoteKind.SPILL;
+      case "waiting" -> amount == 2 ? NoteKind.LOAD_WAIT : NoteKind.MEMORY_WAIT;
+      default -> NoteKind.OTHER;
+    };
+    watcher.noted(a, kind, amount);
+  }
+
+  private static Report report(String use) {
+    if (use == null) {
+      return null;
+    }
+    Map<String, Double> values = new LinkedHashMap<>();
+    for (String value : use.split(";")) {
+      int colon = value.indexOf(':');
+      if (colon > 0) {
+        values.put(value.substring(0, colon), Numbers.real(value.substring(colon + 1), 0));
+      }
+    }
+    return new Report(values.getOrDefault("util", 0.0), values.getOrDefault("queue", 0.0),
+        values.getOrDefault("x0", 0.0), values.getOrDefault("x1", 0.0));
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -0,0 +1,457 @@
+package reachloom.gateway;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.Report;
+import reachloom.config.GatewayConfig;
+import reachloom.config.Member;
+import reachloom.gateway.tables.Attempt;
+import reachloom.gateway.tables.Client;
+import reachloom.gateway.tables.Reach;
+import reachloom.gateway.tables.Request;
+import reachloom.gateway.tables.Slots;
+import reachloom.gateway.wire.Bytes;
+import reachloom.gateway.wire.Change;
+import reachloom.gateway.wire.ClientCall;
+import reachloom.gateway.wire.Decoder;
+import reachloom.gateway.wire.DecodingHandler;
+import reachloom.gateway.wire.FrameDecoder;
+import reachloom.gateway.wire.Listener;
+import reachloom.gateway.wire.Numbers;
+import reachloom.gateway.wire.Sockets;
+import reachloom.gateway.wire.TableGroup;
+import reachloom.gateway.wire.ThriftReader;
+import reachloom.gateway.wire.ThriftWriter;
+
+/**
+ * One gateway on sockets: tells the decision module what happens, in order, and does what it says. It
+ * translates, keeps time and keeps bounds; it decides nothing. All of it runs on the loop's thread.
+ */
+public final class Gateway implements Actions, Engines.Watcher {
+  private static final Logger LOG = System.getLogger(Gateway.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final AttributeKey CLIENT = new AttributeKey(Gateway.class, "client");
+  private static final int MOST_FRAME = 64 * 1024;
+  private static final int MOST_OPEN = 32; // requests on one connection, as the protocol says
+  /** Bytes of statements held; past that, requests are refused unseen. */
+  private static final long MOST_HELD = 16L << 20;
+  /** Bytes of answers that clients have not taken yet, of all and of one that others would wait for. */
+  private static final long MOST_UNSENT = 16L << 20;
+  /** Time-outs come this much before the client stops waiting: a wake-up and the way back take time. */
+  private static final long AHEAD = 10 * MILLISECOND;
+  private static final long LONGEST_LIMIT_MS = 24 * 60 * 60 * 1000;
+  private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
+  private static final Pattern KEY = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+
+  private final GatewayConfig config;
+  private final Loop loop;
+  private final Events module;
+  private final Sockets sockets;
+  private final Engines engines;
+  private final ChangeLog changeLog;
+  private final Slots<Client> clients;
+  private final Slots<Request> requests;
+  private final Map<String, Request> byId = new HashMap<>();
+  private long heldBytes;
+  private long unsent;
+  private boolean good;
+  /** Once the gateway is to stop: by when all must be answered; else the largest time. */
+  private long answerBy = Long.MAX_VALUE;
+
+  /** A gateway that has not started; the factory makes its decision module. */
+  public Gateway(GatewayConfig config, Loop loop, Function<Actions, Events> factory) {
+    this.config = config;
+    this.loop = loop;
+    module = factory.apply(this);
+    sockets = new Sockets();
+    int third = config.sockets() / 3;
+    clients = new Slots<>(third);
+    requests = new Slots<>(config.transport().maxOpen());
+    engines = new Engines(loop, sockets, this, config.transport(), config.names(),
+        config.settings().traits().reports(), third);
+    changeLog = new ChangeLog(loop, sockets, config.changeLog(), config.lastEvent(), config.seed(),
+        config.names().zones().size(), config.names().kinds().size(), this::changed, this::changeLogAway);
+  }
+
+  // ---- Start and stop ----
+
+  /** Starts the module and follows the change log. */
+  public void start() {
+    engines.update(true, config.known());
+    tell(() -> module.start(loop.now(), config.seed(), config.settings()));
+    tell(() -> module.engines(loop.now(), true, config.known().stream().map(Member::info).toList()));
+    changeLog.connect();
+  }
+
+  /** Listens for clients. */
+  public void listen() throws java.io.IOException {
+    sockets.listen(config.listen(), new DecodingHandler<>("client", CallDecoder::new, new Heard()));
+  }
+
+  /** What {@code check} answers from now on. */
+  public void good(boolean value) {
+    good = value;
+  }
+
+  /** All that comes from now on has to be answered by that time. */
+  public void answerBy(long time) {
+    answerBy = time;
+  }
+
+  /** How many requests are open. */
+  public int open() {
+    return (int) requests.all().stream().filter(r -> !r.over).count();
+  }
+
+  /** Answers all that is still open, as far as the rules allow without a decision. */
+  public void answerAll() {
+    for (Request r : requests.all()) {
+      if (!r.over) {
+        giveUp(r, "the gateway stops");
+      }
+    }
+  }
+
+  /** Takes no more clients, and closes the connections once what they are owed is written. */
+  public void close() {
+    sockets.unbind();
+    clients.all().forEach(c -> c.session.closeOnFlush());
+  }
+
+  /** How many connections of clients are open. */
+  public int clientCount() {
+    return clients.size();
+  }
+
+  /** An exception of the module costs what the event was about, not the process. */
+  private void tell(Runnable event) {
+    try {
+      event.run();
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "the decision module failed on an event", e);
+    }
+  }
+
+  // ---- The list of engines ----
+
+  private void changed(Change change) {
+    engines.update(change.whole(), change.members());
+    tell(() -> module.engines(loop.now(), change.whole(),
+        change.members().stream().map(Member::info).toList()));
+  }
+
+  private void changeLogAway() {
+    if (config.settings().subscribe()) {
+      tell(() -> module.listUnavailable(loop.now()));
+    }
+  }
+
+  // ---- Clients ----
+
+  private static final class CallDecoder implements Decoder<ClientCall> {
+    private final FrameDecoder frames = new FrameDecoder(1, MOST_FRAME);
+    private String fault;
+
+    @Override
+    public String feed(byte[] bytes, int from, int to,
+        java.util.function.Consumer<? super ClientCall> messages) {
+      String broken = frames.feed(bytes, from, to, f -> {
+        ClientCall call = fault == null ? ThriftReader.read(f) : null;
+        if (call instanceof ClientCall.Broken b) {
+          fault = b.why();
+        } else if (call != null) {
+          messages.accept(call);
+        }
+      });
+      return fault != null ? fault : broken;
+    }
+  }
+
+  private final class Heard implements Listener<ClientCall> {
+    @Override
+    public void opened(IoSession session) {
+      loop.post(0, () -> {
+        Client c = new Client(session);
+        c.handle = clients.add(c);
+        if (c.handle == Slots.NONE) {
+          session.closeNow();
+          return;
+        }
+        session.setAttribute(CLIENT, c.handle);
+      });
+    }
+
+    @Override
+    public void received(IoSession session, ClientCall call, int bytes) {
+      long at = loop.now();
+      loop.post(bytes, () -> {
+        Client c = client(session);
+        if (c != null) {
+          called(c, call, at);
+        }
+      });
+    }
+
+    @Override
+    public void closed(IoSession session) {
+      loop.post(0, () -> {
+        Client c = client(session);
+        if (c != null) {
+          clients.remove(c.handle);
+          List.copyOf(c.open.values()).forEach(Gateway.this::left);
+        }
+      });
+    }
+  }
+
+  private Client client(IoSession session) {
+    Long handle = (Long) session.getAttribute(CLIENT);
+    return handle == null ? null : clients.get(handle);
+  }
+
+  private void called(Client c, ClientCall call, long at) {
+    if (call instanceof ClientCall.Execute e) {
+      execute(c, e, at);
+    } else if (call instanceof ClientCall.Interrupt i) {
+      Request r = c.open.get(i.target());
+      if (r != null) {
+        left(r);
+      }
+    } else if (call instanceof ClientCall.Check k) {
+      write(c, ThriftWriter.check(k.seq(), good));
+    } else if (call instanceof ClientCall.Unusable u) {
+      write(c, ThriftWriter.exception(u));
+    }
+  }
+
+  private void execute(Client c, ClientCall.Execute call, long at) {
+    Map<String, String> fields = call.fields();
+    String id = fields.getOrDefault("txn", "");
+    int queryClass = config.names().classes().indexOf(fields.getOrDefault("verb", ""));
+    List<String> tenants = config.names().tenants();
+    int tenant = tenants.isEmpty() ? 0 : tenants.indexOf(fields.getOrDefault("team", ""));
+    long limit = Numbers.whole(fields.get("limit"), 0);
+    String key = fields.get("unique");
+    boolean keyed = queryClass >= 0
+        && config.settings().classes().get(queryClass).effect() == Effect.KEYED;
+    boolean usable = queryClass >= 0 && tenant >= 0 && limit > 0 && limit <= LONGEST_LIMIT_MS
+        && ID.matcher(id).matches() && (key == null ? !keyed : KEY.matcher(key).matches());
+    if (!usable || byId.containsKey(id) || c.open.containsKey(call.seq())) {
+      LOG.log(Level.WARNING, "a request with fields that can''t be used, or an id that is open: {0}", id);
+      write(c, ThriftWriter.failed(call.seq()));
+      return;
+    }
+    Bytes statement = call.statement();
+    long deadline = Math.min(at + limit * MILLISECOND, answerBy);
+    Request r = new Request(id, config.names().classes().get(queryClass), key, statement.array(),
+        statement.from(), statement.length(), c.handle, call.seq(), deadline);
+    boolean room = c.open.size() < MOST_OPEN && heldBytes + statement.array().length <= MOST_HELD;
+    r.handle = room ? requests.add(r) : Slots.NONE;
+    if (r.handle == Slots.NONE) {
+      write(c, ThriftWriter.busy(call.seq())); // it was never sent
+      return;
+    }
+    heldBytes += statement.array().length;
+    byId.put(id, r);
+    c.open.put(r.seq, r);
+    r.backstop = loop.deadlines().add(deadline, () -> giveUp(r, "its time is up"));
+    long now = loop.now();
+    Query query = new Query(id, queryClass, tenant, null, Math.max(0, deadline - now), 0, 0,
+        TableGroup.of(statement), false);
+    tell(() -> module.arrive(now, query));
+  }
+
+  private void left(Request r) {
+    if (r.over) {
+      return;
+    }
+    close(r);
+    tell(() -> module.leave(loop.now(), r.id));
+    drop(r);
+  }
+
+  /** The front's own end of a request, for when no decision has come: a failure promises nothing. */
+  private void giveUp(Request r, String why) {
+    if (r.over) {
+      return;
+    }
+    LOG.log(Level.INFO, "request {0} ends unserved: {1}", r.id, why);
+    answer(r, r.attempts.isEmpty() ? ThriftWriter.busy(r.seq) : ThriftWriter.failed(r.seq));
+    tell(() -> module.leave(loop.now(), r.id));
+    for (Attempt a : List.copyOf(r.attempts)) {
+      finish(a, Outcome.CANCELLED); // those that the module may not call off
+    }
+    drop(r);
+  }
+
+  private void answer(Request r, ByteBuffer bytes) {
+    Client c = clients.get(r.client);
+    close(r);
+    if (c != null) {
+      write(c, bytes);
+    }
+  }
+
+  /** The request is owed nothing more. */
+  private void close(Request r) {
+    r.over = true;
+    loop.deadlines().cancel(r.backstop);
+    Client c = clients.get(r.client);
+    if (c != null) {
+      c.open.remove(r.seq, r);
+    }
+  }
+
+  /** Forgets a request that is over and has nothing out. */
+  private void drop(Request r) {
+    if (r.over && r.out == 0 && requests.get(r.handle) == r) {
+      requests.remove(r.handle);
+      byId.remove(r.id);
+      heldBytes -= r.frame.length;
+    }
+  }
+
+  private void write(Client c, ByteBuffer bytes) {
+    int size = bytes.remaining();
+    if (unsent + size > MOST_UNSENT && c.session.getScheduledWriteBytes() > MOST_UNSENT / clients.size()) {
+      LOG.log(Level.WARNING, "client {0} does not take its answers; its connection is closed",
+          c.session.getRemoteAddress());
+      c.session.closeNow();
+      return;
+    }
+    unsent += size;
+    Sockets.write(c.session, bytes).addListener(f -> loop.post(0, () -> unsent -= size));
+  }
+
+  // ---- What becomes of attempts ----
+
+  @Override
+  public void ended(Attempt a, Outcome outcome) {
+    finish(a, outcome);
+  }
+
+  private void finish(Attempt a, Outcome outcome) {
+    if (a.ended) {
+      return;
+    }
+    a.ended = true;
+    Request r = a.request;
+    r.out--;
+    loop.deadlines().cancel(a.timeout);
+    engines.withdraw(a);
+    if (outcome == Outcome.SERVED && !r.over) {
+      answer(r, ThriftWriter.answer(r.seq, a.pages.stream().map(Bytes::of).toList()));
+    }
+    long now = loop.now();
+    AttemptEnd end = new AttemptEnd(r.id, a.number, a.engine, outcome, now - a.sentAt, r.over,
+        outcome == Outcome.SERVED ? a.costMs : 0, outcome == Outcome.SERVED ? a.memoryMb : 0, a.report);
+    a.pages.clear();
+    tell(() -> module.end(now, end));
+    drop(r);
+  }
+
+  @Override
+  public void noted(Attempt a, NoteKind kind, double amount) {
+    tell(() -> module.note(loop.now(), new Note(a.request.id, a.number, a.engine, kind, amount)));
+  }
+
+  @Override
+  public void probed(String engine, boolean answered, Report report) {
+    tell(() -> module.probed(loop.now(), engine, answered, report));
+  }
+
+  // ---- What the module does ----
+
+  @Override
+  public void send(String query, String engine, long timeout) {
+    Request r = byId.get(query);
+    if (r == null) {
+      LOG.log(Level.ERROR, "the module sends {0}, which is not open", query);
+      return;
+    }
+    long now = loop.now();
+    long latest = r.deadline - AHEAD;
+    long until = timeout <= 0 ? latest : Math.min(latest, now + timeout);
+    Attempt a = new Attempt(r, r.attempts.size(), engine, now, until);
+    r.attempts.add(a);
+    r.out++;
+    boolean allowed = !r.over && until > now && a.number < config.settings().limits().maxAttempts();
+    if (!allowed) {
+      loop.later(() -> finish(a, Outcome.NOT_SENT));
+      return;
+    }
+    a.timeout = loop.deadlines().add(until, () -> finish(a, a.reach.expired));
+    engines.send(a);
+  }
+
+  @Override
+  public void terms(String query, double grantMb, int priority) {
+    Request r = byId.get(query);
+    if (r != null && r.priority != priority) { // engines of this protocol take no grant
+      r.priority = priority;
+      r.attempts.stream().filter(a -> !a.ended).forEach(a -> engines.priority(a, priority));
+    }
+  }
+
+  @Override
+  public void cancel(String query, int attempt) {
+    Request r = byId.get(query);
+    if (r != null && attempt < r.attempts.size()) {
+      loop.later(() -> finish(r.attempts.get(attempt), Outcome.CANCELLED));
+    }
+  }
+
+  @Override
+  public void refuse(String query, long retryAfter) {
+    Request r = byId.get(query);
+    if (r != null && !r.over) {
+      answer(r, ThriftWriter.busy(r.seq));
+      drop(r);
+    }
+  }
+
+  @Override
+  public void fail(String query) {
+    Request r = byId.get(query);
+    if (r != null && !r.over) {
+      answer(r, ThriftWriter.failed(r.seq));
+      drop(r);
+    }
+  }
+
+  @Override
+  public void timer(long delay, long token) {
+    loop.deadlines().add(loop.now() + delay, () -> tell(() -> module.wake(loop.now(), token)));
+  }
+
+  @Override
+  public void probe(String engine) {
+    engines.probe(engine);
+  }
+
+  @Override
+  public void watch() {
+    // The change log is always followed; a break of it is told as it comes.
+  }
+
+  @Override
+  public void log(String line) {
+    LOG.log(Level.INFO, line);
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/Loop.java
@@ -0,0 +1,120 @@
+package reachloom.gateway;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import reachloom.gateway.tables.Deadlines;
+
+/**
+ * The one thread that owns all state. It runs what other threads hand it, in the order in which they did, and
+ * what is due. What came from the sockets goes before deadlines that are judged by it.
+ */
+public final class Loop implements Runnable {
+  private static final Logger LOG = System.getLogger(Loop.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  /** A wake-up that much too late is a standstill: the sockets are read before deadlines are judged. */
+  private static final long STANDSTILL = 20 * MILLISECOND;
+  private static final long SETTLE = 3 * MILLISECOND; // without a message: the sockets have been read
+  private static final long LONGEST_SETTLE = 15 * MILLISECOND;
+  private static final long LONGEST_WAIT = 1_000 * MILLISECOND;
+  /** Bytes of messages not yet looked at; past that, reading from sockets waits. */
+  private static final int MOST_WAITING = 4 << 20;
+
+  private record Task(Runnable action, int bytes) {
+  }
+
+  private final Clock clock = new Clock();
+  private final Deadlines deadlines = new Deadlines();
+  private final LinkedBlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+  private final Semaphore room = new Semaphore(MOST_WAITING);
+  private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+  private volatile boolean ended;
+
+  /** The present time on the Unix clock, in nanoseconds. */
+  public long now() {
+    return clock.now();
+  }
+
+  /** All deadlines and timers; for the loop's own thread. */
+  public Deadlines deadlines() {
+    return deadlines;
+  }
+
+  /** Runs something on the loop's thread; {@code bytes} is what it keeps in memory until then. */
+  public void post(int bytes, Runnable action) {
+    int weight = Math.min(bytes, MOST_WAITING);
+    room.acquireUninterruptibly(weight);
+    queue.add(new Task(action, weight));
+  }
+
+  /** Runs something on the loop's thread once the present event has been dealt with. */
+  public void later(Runnable action) {
+    later.add(action);
+  }
+
+  /** Ends the loop after the present event. */
+  public void end() {
+    ended = true;
+  }
+
+  @Override
+  public void run() {
+    while (!ended) {
+      try {
+        turn();
+      } catch (InterruptedException e) {
+        LOG.log(Level.WARNING, "the loop was interrupted");
+        return;
+      }
+    }
+  }
+
+  private void turn() throws InterruptedException {
+    long wanted = Math.min(deadlines.next(), now() + LONGEST_WAIT);
+    Task task = queue.poll(Math.max(0, wanted - now()), TimeUnit.NANOSECONDS);
+    if (now() - wanted > STANDSTILL) {
+      readFirst(task);
+      task = null;
+    }
+    // No more than what is here now, so that a flood of messages can't keep deadlines waiting.
+    for (int left = queue.size(); task != null; task = left-- > 0 ? queue.poll() : null) {
+      run(task);
+    }
+    long now = now();
+    for (Runnable due = deadlines.poll(now); due != null; due = deadlines.poll(now)) {
+      run(due);
+    }
+  }
+
+  /** After a standstill of the process what waits on the sockets has come in time, and counts first. */
+  private void readFirst(Task first) throws InterruptedException {
+    long until = now() + LONGEST_SETTLE;
+    for (Task task = first; task != null || now() < until;) {
+      if (task != null) {
+        run(task);
+      }
+      task = queue.poll(SETTLE, TimeUnit.NANOSECONDS);
+      if (task == null) {
+        return;
+      }
+    }
+  }
+
+  private void run(Task task) {
+    room.release(task.bytes());
+    run(task.action());
+  }
+
+  private void run(Runnable action) {
+    for (Runnable next = action; next != null; next = later.poll()) {
+      try {
+        next.run();
+      } catch (RuntimeException e) { // one event must not take the others down with it
+        LOG.log(Level.ERROR, "an event could not be dealt with", e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -0,0 +1,103 @@
+package reachloom.gateway.lifecycle;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import reachloom.Choice;
+import reachloom.config.GatewayConfig;
+import reachloom.gateway.Gateway;
+import reachloom.gateway.Loop;
+
+/** Runs one gateway from its start to its end. */
+public final class Server {
+  private static final Logger LOG = System.getLogger(Server.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  /** New connections and requests may come for so long after SIGTERM. */
+  private static final long TAKING = 700 * MILLISECOND;
+  /** All is answered by then: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
+  private static final long LONGEST_DEADLINE = 3_000 * MILLISECOND;
+  private static final long ANSWERING = 500 * MILLISECOND;
+  private static final long CHECK = 10 * MILLISECOND;
+  private static final long FLUSH = 150 * MILLISECOND;
+
+  private final GatewayConfig config;
+  private final Loop loop = new Loop();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private Gateway gateway;
+  private boolean stopping;
+
+  /** A server that has not started. */
+  public Server(GatewayConfig config) {
+    this.config = config;
+  }
+
+  /** Serves until SIGTERM; gives the exit status. */
+  public int run() throws InterruptedException {
+    gateway = new Gateway(config, loop, Choice::new);
+    try {
+      gateway.listen();
+    } catch (IOException e) {
+      LOG.log(Level.ERROR, "listen: {0} can''t be bound: {1}", config.listen(), e.getMessage());
+      return 1;
+    }
+    // Only from here on: a start that fails ends at once.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
+    loop.post(0, () -> {
+      gateway.start();
+      gateway.good(true);
+      LOG.log(Level.INFO, "{0} serves at {1} with {2} engines known", config.name(), config.listen(),
+          config.known().size());
+    });
+    loop.run();
+    stopped.countDown();
+    return 0;
+  }
+
+  /** On SIGTERM: the process goes on until the loop has ended, then exits as one that stopped well. */
+  private void terminate() {
+    loop.post(0, this::stop);
+    try {
+      boolean clean = stopped.await(1, TimeUnit.MINUTES);
+      System.err.flush();
+      Runtime.getRuntime().halt(clean ? 0 : 1);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void stop() {
+    if (stopping) {
+      return;
+    }
+    stopping = true;
+    long now = loop.now();
+    long longest = config.settings().classes().stream().mapToLong(c -> c.deadline()).max().orElse(0);
+    long by = now + Math.min(longest, LONGEST_DEADLINE) + ANSWERING;
+    LOG.log(Level.INFO, "{0} stops with {1} requests open", config.name(), gateway.open());
+    gateway.good(false);
+    gateway.answerBy(by);
+    loop.deadlines().add(by, gateway::answerAll);
+    loop.deadlines().add(now + TAKING, this::finish);
+  }
+
+  private void finish() {
+    if (gateway.open() > 0) {
+      loop.deadlines().add(loop.now() + CHECK, this::finish);
+      return;
+    }
+    gateway.close();
+    long until = loop.now() + FLUSH;
+    drain(until);
+  }
+
+  private void drain(long until) {
+    if (gateway.clientCount() > 0 && loop.now() < until) {
+      loop.deadlines().add(loop.now() + CHECK, () -> drain(until));
+      return;
+    }
+    LOG.log(Level.INFO, "{0} has stopped", config.name());
+    loop.end();
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start, readiness, SIGTERM and stop. */
+package reachloom.gateway.lifecycle;
--- /dev/null
+++ b/src/main/java/reachloom/gateway/tables/Link.java
@@ -0,0 +1,37 @@
+package reachloom.gateway.tables;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.mina.core.session.IoSession;
+import reachloom.gateway.tables.Deadlines.Deadline;
+
+/** A connection to an engine. */
+public final class Link {
+  public final String engine;
+  /** The start of the process that it leads to, as the list of engines told it. */
+  public final long since;
+  /** Null until it is up. */
+  public IoSession session;
+  public boolean closed;
+  public long handle;
+  /** What is open on it, by id. */
+  public final Map<String, Attempt> open = new LinkedHashMap<>();
+  /** Probes that are out on it, by tag, with the deadline of each. */
+  public final Map<String, Deadline> probes = new LinkedHashMap<>();
+  public long lastHeard;
+  /** Silent while attempts on it ran out of time: not used for new work without need. */
+  public boolean suspect;
+  public Deadline dial;
+  public Deadline idle;
+
+  /** A connection that is being made. */
+  public Link(String engine, long since) {
+    this.engine = engine;
+    this.since = since;
+  }
+
+  /** Whether nothing is open on it. */
+  public boolean unused() {
+    return open.isEmpty() && probes.isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/tables/package-info.java
@@ -0,0 +1,2 @@
+/** What is kept: numbered slots with generations, and one ordered structure for deadlines and timers. */
+package reachloom.gateway.tables;
--- /dev/null
+++ b/src/main/java/reachloom/gateway/wire/Listener.java
@@ -0,0 +1,19 @@
+package reachloom.gateway.wire;
+
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * Hears of connections; called on the thread that serves the sockets.
+ *
+ * @param <M> the messages
+ */
+public interface Listener<M> {
+  /** A connection is up. */
+  void opened(IoSession session);
+
+  /** A message has come; {@code bytes} is about what it takes in memory. */
+  void received(IoSession session, M message, int bytes);
+
+  /** A connection has ended, by whichever side. */
+  void closed(IoSession session);
+}
--- /dev/null
+++ b/src/main/java/reachloom/gateway/wire/TableGroup.java
@@ -0,0 +1,205 @@
+package reachloom.gateway.wire;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Finds the group of tables that a statement reads or writes: the number behind the underscore in the name of
+ * a schema. Strings and comments are passed over. A name after a word that names tables counts before any
+ * other, since an alias may look like a schema.
+ */
+public final class TableGroup {
+  /** The group of a statement that names none. */
+  public static final int NONE = -1;
+
+  private static final Set<String> TABLE_WORDS =
+      Set.of("from", "join", "into", "update", "table", "using", "copy", "truncate", "only", "view");
+  private static final Set<String> LIST_WORDS = Set.of("from", "using", "table", "truncate", "only");
+  private static final Set<String> QUERY_WORDS = Set.of("select", "with", "insert", "update", "delete",
+      "merge", "values");
+  private static final Set<String> NOT_FUNCTIONS = Set.of("from", "join", "into", "in", "exists", "as", "any",
+      "all", "some", "union", "except", "intersect", "and", "or", "not", "select", "where", "on", "using",
+      "values", "when", "then", "else", "case", "lateral", "by", "having", "returning");
+  private static final String STAGING = "staging";
+  private static final int MOST_DIGITS = 9;
+  private static final int MOST_DEPTH = 256;
+
+  private final byte[] text;
+  private final int end;
+  private int at;
+  private int fallback = NONE;
+
+  private TableGroup(Bytes statement) {
+    text = statement.array();
+    at = statement.from();
+    end = statement.from() + statement.length();
+  }
+
+  /** The group of a statement, or {@link #NONE}. */
+  public static int of(Bytes statement) {
+    return new TableGroup(statement).find();
+  }
+
+  private int find() {
+    // For each open bracket whether it is the argument list of a function, where FROM names no table.
+    Deque<Boolean> functions = new ArrayDeque<>();
+    boolean inList = false; // within the tables after FROM, where a comma starts the next one
+    boolean wanted = false; // the next name is a table's
+    String before = ""; // the last bare word
+    while (skipToToken()) {
+      char c = (char) text[at];
+      if (isPart(c)) {
+        boolean bare = isNameStart(c);
+        List<String> parts = name();
+        String word = bare && parts.size() == 1 ? parts.get(0).toLowerCase(Locale.ROOT) : "";
+        if (QUERY_WORDS.contains(word) && !functions.isEmpty() && functions.peek()) {
+          functions.pop();
+          functions.push(false);
+        }
+        boolean inFunction = !functions.isEmpty() && functions.peek();
+        if (TABLE_WORDS.contains(word) && !inFunction) {
+          wanted = true;
+          inList = LIST_WORDS.contains(word);
+        } else if (word.isEmpty() || wanted) {
+          int group = group(parts);
+          if (wanted && group != NONE) {
+            return group;
+          }
+          fallback = fallback == NONE ? group : fallback;
+          wanted = wanted && Set.of("if", "not", "exists", "lateral").contains(word);
+        } else if (!word.equals("as") && NOT_FUNCTIONS.contains(word)) {
+          inList = false;
+        }
+        before = word.isEmpty() ? "name" : word;
+        continue;
+      }
+      if (c == '(') {
+        boolean function = !before.isEmpty() && !NOT_FUNCTIONS.contains(before)
+            && !TABLE_WORDS.contains(before) && !wanted;
+        if (functions.size() >= MOST_DEPTH) {
+          return fallback;
+        }
+        functions.push(function);
+      } else if (c == ')' && !functions.isEmpty()) {
+        functions.pop();
+      } else if (c == ',' && inList) {
+        wanted = functions.isEmpty() || !functions.peek();
+      }
+      before = "";
+      at++;
+    }
+    return fallback;
+  }
+
+  /** A name of one or more parts with dots between; quoted parts lose their quotes. */
+  private List<String> name() {
+    List<String> parts = new ArrayList<>();
+    parts.add(part());
+    while (at + 1 < end && text[at] == '.' && isPart((char) text[at + 1])) {
+      at++;
+      parts.add(part());
+    }
+    return parts;
+  }
+
+  private String part() {
+    return isQuote((char) text[at]) ? quoted() : bare();
+  }
+
+  private String bare() {
+    int from = at;
+    while (at < end && (isNameStart((char) text[at]) || isDigit((char) text[at]) || text[at] == '$')) {
+      at++;
+    }
+    return new Bytes(text, from, at - from).text();
+  }
+
+  private String quoted() {
+    byte quote = text[at];
+    int from = at + 1;
+    skipQuoted(quote);
+    return new Bytes(text, from, Math.max(0, at - 1 - from)).text();
+  }
+
+  /** Moves behind the closing quote; a doubled one stands for itself. */
+  private void skipQuoted(byte quote) {
+    at++;
+    while (at < end) {
+      if (text[at] != quote) {
+        at++;
+      } else if (at + 1 < end && text[at + 1] == quote) {
+        at += 2;
+      } else {
+        at++;
+        return;
+      }
+    }
+  }
+
+  /** Passes over space, strings, comments and numbers; false at the end of the statement. */
+  private boolean skipToToken() {
+    while (at < end) {
+      byte c = text[at];
+      if (c == '\'') {
+        skipQuoted(c);
+      } else if (c == '-' && next('-')) {
+        while (at < end && text[at] != '\n') {
+          at++;
+        }
+      } else if (c == '/' && next('*')) {
+        at += 2;
+        while (at < end && !(text[at] == '*' && next('/'))) {
+          at++;
+        }
+        at = Math.min(end, at + 2);
+      } else if (isDigit((char) c)) {
+        while (at < end && (isDigit((char) text[at]) || isNameStart((char) text[at]) || text[at] == '.')) {
+          at++;
+        }
+      } else if (c <= ' ' && c >= 0) {
+        at++;
+      } else {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean next(char c) {
+    return at + 1 < end && text[at + 1] == c;
+  }
+
+  /** The number in a name's schema, which stands before the table; NONE where it has none that fits. */
+  private static int group(List<String> parts) {
+    if (parts.size() < 2) {
+      return NONE;
+    }
+    String schema = parts.get(parts.size() - 2);
+    int underscore = schema.lastIndexOf('_');
+    String digits = schema.substring(underscore + 1);
+    if (underscore < 0 || digits.length() > MOST_DIGITS || schema.equalsIgnoreCase(STAGING)) {
+      return NONE;
+    }
+    return (int) Numbers.whole(digits, NONE);
+  }
+
+  private static boolean isPart(char c) {
+    return isNameStart(c) || isQuote(c);
+  }
+
+  private static boolean isNameStart(char c) {
+    return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_' || c > '~';
+  }
+
+  private static boolean isQuote(char c) {
+    return c == '"' || c == '`';
+  }
+
+  private static boolean isDigit(char c) {
+    return c >= '0' && c <= '9';
+  }
+}
--- a/src/test/java/reachloom/MainTest.java
+++ b/src/test/java/reachloom/MainTest.java
@@ -13,12 +13,12 @@
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
-  private int run(String... args) throws IOException {
+  private int run(String... args) throws IOException, InterruptedException {
     return Main.run(args, new PrintStream(out, true), new PrintStream(err, true));
   }
 
   @Test
-  void unknownOrMissingCommandsPrintUsageOnStandardError() throws IOException {
+  void unknownOrMissingCommandsPrintUsageOnStandardError() throws IOException, InterruptedException {
     assertEquals(2, run());
     assertEquals(2, run("unheard"));
     assertEquals(0, out.size());
@@ -26,7 +26,7 @@
   }
 
   @Test
-  void helpPrintsUsageOnStandardOutput() throws IOException {
+  void helpPrintsUsageOnStandardOutput() throws IOException, InterruptedException {
     assertEquals(0, run("--help"));
     assertTrue(out.toString().contains("benchlink"));
     assertEquals(0, err.size());
