--- a/src/main/java/reachloom/gateway/Engines.java
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import org.apache.mina.core.future.ConnectFuture;
-import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
@@ -149,14 +148,9 @@
     long now = loop.now();
     long budget = Math.max(1, (a.until - now) / MILLISECOND);
     a.reach = Reach.NOT_WHOLE;
-    WriteFuture written = Sockets.write(a.link.session,
+    a.written = Sockets.write(a.link.session,
         NodeWriter.ask(a.request.id, a.request.queryClass, budget, a.request.key, a.request.priority,
             new Bytes(a.request.frame, a.request.from, a.request.length)));
-    written.addListener(f -> {
-      if (written.isWritten()) {
-        loop.post(0, () -> a.reach = a.reach == Reach.NOT_WHOLE ? Reach.OUT : a.reach);
-      }
-    });
   }
 
   /** Gives up an attempt that has not ended: the engine is told, and its answer is no longer known here. */
@@ -267,7 +261,7 @@
       return;
     }
     Peer peer = peers.get(l.engine);
-    if (l.suspect || peer == null || peer.member == null) {
+    if (peer == null || peer.member == null) {
       close(l);
       return;
     }
@@ -298,7 +292,7 @@
     List<String> tags = List.copyOf(l.probes.keySet());
     l.open.clear();
     for (Attempt a : open) {
-      loop.later(() -> watcher.ended(a, a.reach.broken));
+      loop.later(() -> watcher.ended(a, a.reach().broken));
     }
     for (String tag : tags) {
       loop.deadlines().cancel(l.probes.remove(tag));
--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import org.apache.mina.core.session.AttributeKey;
@@ -55,6 +56,8 @@
   private static final long MOST_UNSENT = 16L << 20;
   /** Time-outs come this much before the client stops waiting: a wake-up and the way back take time. */
   private static final long AHEAD = 10 * MILLISECOND;
+  /** What an engine is sent has come there by then, unless the network stands. */
+  private static final long FAREWELL = 5 * MILLISECOND;
   private static final long LONGEST_LIMIT_MS = 24 * 60 * 60 * 1000;
   private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
   private static final Pattern KEY = Pattern.compile("[0-9A-Za-z_-]{1,64}");
@@ -69,7 +72,7 @@
   private final Slots<Request> requests;
   private final Map<String, Request> byId = new HashMap<>();
   private long heldBytes;
-  private long unsent;
+  private final AtomicLong unsent = new AtomicLong();
   private boolean good;
   /** Once the gateway is to stop: by when all must be answered; else the largest time. */
   private long answerBy = Long.MAX_VALUE;
@@ -329,14 +332,15 @@
 
   private void write(Client c, ByteBuffer bytes) {
     int size = bytes.remaining();
-    if (unsent + size > MOST_UNSENT && c.session.getScheduledWriteBytes() > MOST_UNSENT / clients.size()) {
+    boolean full = unsent.get() + size > MOST_UNSENT;
+    if (full && c.session.getScheduledWriteBytes() > MOST_UNSENT / clients.size()) {
       LOG.log(Level.WARNING, "client {0} does not take its answers; its connection is closed",
           c.session.getRemoteAddress());
       c.session.closeNow();
       return;
     }
-    unsent += size;
-    Sockets.write(c.session, bytes).addListener(f -> loop.post(0, () -> unsent -= size));
+    unsent.addAndGet(size);
+    Sockets.write(c.session, bytes).addListener(f -> unsent.addAndGet(-size));
   }
 
   // ---- What becomes of attempts ----
@@ -346,21 +350,34 @@
     finish(a, outcome);
   }
 
+  /** Ends an attempt here; the module hears of it at once, or once the engine knows that it is given up. */
   private void finish(Attempt a, Outcome outcome) {
     if (a.ended) {
       return;
     }
     a.ended = true;
-    Request r = a.request;
-    r.out--;
     loop.deadlines().cancel(a.timeout);
+    boolean givenUp = outcome.mayRunOn && a.reach != Reach.NOT_CONNECTED;
     engines.withdraw(a);
-    if (outcome == Outcome.SERVED && !r.over) {
-      answer(r, ThriftWriter.answer(r.seq, a.pages.stream().map(Bytes::of).toList()));
+    if (outcome == Outcome.SERVED && !a.request.over) {
+      answer(a.request, ThriftWriter.answer(a.request.seq, a.pages.stream().map(Bytes::of).toList()));
     }
+    if (givenUp && !a.request.over) {
+      // The word that it is given up travels on its own connection: a further attempt elsewhere, sent at
+      // once, could come before it, and two would be out.
+      loop.deadlines().add(loop.now() + FAREWELL, () -> told(a, outcome));
+    } else {
+      told(a, outcome);
+    }
+  }
+
+  private void told(Attempt a, Outcome outcome) {
+    Request r = a.request;
+    r.out--;
     long now = loop.now();
+    boolean served = outcome == Outcome.SERVED;
     AttemptEnd end = new AttemptEnd(r.id, a.number, a.engine, outcome, now - a.sentAt, r.over,
-        outcome == Outcome.SERVED ? a.costMs : 0, outcome == Outcome.SERVED ? a.memoryMb : 0, a.report);
+        served ? a.costMs : 0, served ? a.memoryMb : 0, a.report);
     a.pages.clear();
     tell(() -> module.end(now, end));
     drop(r);
@@ -396,7 +413,7 @@
       loop.later(() -> finish(a, Outcome.NOT_SENT));
       return;
     }
-    a.timeout = loop.deadlines().add(until, () -> finish(a, a.reach.expired));
+    a.timeout = loop.deadlines().add(until, () -> finish(a, a.reach().expired));
     engines.send(a);
   }
 
--- /dev/null
+++ b/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
@@ -0,0 +1,57 @@
+package reachloom.gateway.lifecycle;
+
+import java.io.PrintStream;
+import java.text.MessageFormat;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ResourceBundle;
+
+/**
+ * Writes log lines to standard error, one each, at once. The platform's own logging resets itself as soon as
+ * the process is told to stop, when the lines of the stop are still to come.
+ */
+public final class LineLogger extends System.LoggerFinder {
+  private static final PrintStream ERR = System.err;
+
+  @Override
+  public System.Logger getLogger(String name, Module module) {
+    String shortName = name.substring(name.lastIndexOf('.') + 1);
+    return new System.Logger() {
+      @Override
+      public String getName() {
+        return name;
+      }
+
+      @Override
+      public boolean isLoggable(Level level) {
+        return level.getSeverity() >= Level.INFO.getSeverity() && level != Level.OFF;
+      }
+
+      @Override
+      public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
+        write(level, message, thrown);
+      }
+
+      @Override
+      public void log(Level level, ResourceBundle bundle, String format, Object... values) {
+        write(level, values == null || values.length == 0 ? format : MessageFormat.format(format, values),
+            null);
+      }
+
+      private void write(Level level, String message, Throwable thrown) {
+        if (!isLoggable(level)) {
+          return;
+        }
+        StringBuilder line = new StringBuilder().append(Instant.now().truncatedTo(ChronoUnit.MILLIS))
+            .append(' ').append(level.getName()).append(' ').append(shortName).append(": ")
+            .append(message.replaceAll("[\\r\\n]", " "));
+        synchronized (ERR) {
+          ERR.println(line);
+          if (thrown != null) {
+            thrown.printStackTrace(ERR);
+          }
+        }
+      }
+    };
+  }
+}
--- a/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -44,17 +44,26 @@
     }
     // Only from here on: a start that fails ends at once.
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
-    loop.post(0, () -> {
-      gateway.start();
-      gateway.good(true);
-      LOG.log(Level.INFO, "{0} serves at {1} with {2} engines known", config.name(), config.listen(),
-          config.known().size());
-    });
+    loop.post(0, gateway::start);
+    Thread rehearsal = new Thread(() -> {
+      new Rehearsal(config, Choice::new).run();
+      loop.post(0, this::ready);
+    }, "rehearsal");
+    rehearsal.setDaemon(true);
+    rehearsal.start();
     loop.run();
     stopped.countDown();
     return 0;
   }
 
+  private void ready() {
+    if (!stopping) {
+      gateway.good(true);
+      LOG.log(Level.INFO, "{0} serves at {1} with {2} engines known", config.name(), config.listen(),
+          config.known().size());
+    }
+  }
+
   /** On SIGTERM: the process goes on until the loop has ended, then exits as one that stopped well. */
   private void terminate() {
     loop.post(0, this::stop);
--- a/src/main/java/reachloom/gateway/tables/Attempt.java
+++ b/src/main/java/reachloom/gateway/tables/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.apache.mina.core.future.WriteFuture;
 import reachloom.Decisions.Report;
 import reachloom.gateway.tables.Deadlines.Deadline;
 
@@ -13,7 +14,10 @@
   public final long sentAt;
   /** When it is given up. */
   public final long until;
+  /** How far it has come as far as the loop knows; {@link #reach()} asks the connection, too. */
   public Reach reach = Reach.NOT_CONNECTED;
+  /** The write of its request, which tells whether it is whole on the wire. */
+  public WriteFuture written;
   public Link link;
   public boolean ended;
   public Deadline timeout;
@@ -33,4 +37,12 @@
     this.sentAt = sentAt;
     this.until = until;
   }
+
+  /** How far it has come. */
+  public Reach reach() {
+    if (reach == Reach.NOT_WHOLE && written != null && written.isWritten()) {
+      reach = Reach.OUT;
+    }
+    return reach;
+  }
 }
--- /dev/null
+++ b/src/test/java/reachloom/gateway/wire/ChangeLogDecoderTest.java
@@ -0,0 +1,66 @@
+package reachloom.gateway.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reachloom.Decisions.EngineState;
+
+/** Frames of the change log. */
+class ChangeLogDecoderTest {
+  private static ByteBuffer frame(long number, int kind, int records) {
+    return ByteBuffer.allocate(13 + 27 * records).putInt(9 + 27 * records).putLong(number).put((byte) kind);
+  }
+
+  private static ByteBuffer record(ByteBuffer out, int id, int state, int zone, int kind) {
+    return out.putInt(id).put(new byte[] {127, 1, 2, 3}).putShort((short) 41_000).put((byte) state)
+        .put((byte) zone).put((byte) kind).putShort((short) 2).putInt(1500).putLong(7);
+  }
+
+  private static Decoder<Change> decoder() {
+    return new ChangeLogDecoder(3, 2);
+  }
+
+  @Test
+  void eventsAreTheSameHoweverTheyAreCut() {
+    byte[] stream = Feeds.join(frame(0, 0, 0).array(), record(frame(4, 1, 1), 0xc41f7a, 0, 2, 1).array(),
+        record(record(frame(5, 2, 2), 1, 1, 0, 0), 2, 2, 0, 0).array());
+    List<Change> read = Feeds.alike(stream, ChangeLogDecoderTest::decoder, c -> c);
+    assertEquals(List.of(true, false, false), read.stream().map(Change::nothing).toList());
+    assertEquals(List.of(false, true, false), read.stream().map(Change::whole).toList());
+    var member = read.get(1).members().get(0);
+    assertEquals("s-00c41f7a", member.info().name());
+    assertEquals("/127.1.2.3:41000", member.address().toString());
+    assertEquals(1.5, member.info().weight());
+    assertEquals(7_000_000, member.info().since());
+    assertEquals(2, member.info().cell());
+    assertEquals(List.of(EngineState.DRAINING, EngineState.GONE),
+        read.get(2).members().stream().map(m -> m.info().state()).toList());
+  }
+
+  @Test
+  void aStateNotKnownTakesNothingNew() {
+    List<Change> read = Feeds.alike(record(frame(5, 2, 1), 1, 9, 0, 0).array(),
+        ChangeLogDecoderTest::decoder, c -> c);
+    assertEquals(EngineState.DRAINING, read.get(0).members().get(0).info().state());
+  }
+
+  @Test
+  void framesThatCannotBeReadBreakTheConnection() {
+    assertNotNull(Feeds.fault(ByteBuffer.allocate(4).putInt(8).array(), decoder()));
+    assertNotNull(Feeds.fault(ByteBuffer.allocate(4).putInt(-1).array(), decoder()));
+    assertNotNull(Feeds.fault(frame(1, 3, 0).array(), decoder()));
+    assertNotNull(Feeds.fault(frame(1, 0, 1).array(), decoder()));
+    assertNotNull(Feeds.fault(record(frame(1, 2, 1), 1, 0, 3, 0).array(), decoder()));
+    assertNotNull(Feeds.fault(record(frame(1, 2, 1), 1, 0, 0, 2).array(), decoder()));
+    ByteBuffer cut = ByteBuffer.allocate(4 + 9 + 26).putInt(9 + 26).putLong(1).put((byte) 2);
+    assertNotNull(Feeds.fault(cut.array(), decoder()));
+  }
+
+  @Test
+  void theFirstWordIsTheLastNumberHeld() {
+    assertEquals(ByteBuffer.allocate(8).putLong(41).flip(), ChangeLogDecoder.hello(41));
+  }
+}
