--- /dev/null
+++ b/src/test/java/reachloom/gateway/ChangeLogStandIn.java
@@ -0,0 +1,85 @@
+package reachloom.gateway;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** The change log as the protocol page describes it: events after the number told, else a frame a second. */
+final class ChangeLogStandIn implements AutoCloseable {
+  final List<Long> hellos = new CopyOnWriteArrayList<>();
+  private final List<byte[]> events = new CopyOnWriteArrayList<>();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final ServerSocket server;
+  private final long first;
+
+  /** A log whose events follow the given number. */
+  ChangeLogStandIn(long first) throws IOException {
+    this.first = first;
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    NodeStandIn.daemon(this::accept);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  /** Adds an event of one engine; state 0 is ready, 1 draining, 2 gone. */
+  void add(int id, NodeStandIn node, int state) {
+    ByteBuffer frame = ByteBuffer.allocate(4 + 9 + 27).putInt(9 + 27).putLong(first + 1 + events.size())
+        .put((byte) 2).putInt(id).put(node.address().getAddress().getAddress())
+        .putShort((short) node.address().getPort()).put((byte) state).put((byte) 0).put((byte) 0)
+        .putShort((short) 0).putInt(1000).putLong(0);
+    events.add(frame.array());
+  }
+
+  /** Breaks all connections. */
+  void cut() throws IOException {
+    for (Socket s : sockets) {
+      s.close();
+    }
+    sockets.clear();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket s = server.accept();
+        sockets.add(s);
+        NodeStandIn.daemon(() -> serve(s));
+      }
+    } catch (IOException e) {
+      // closed
+    }
+  }
+
+  private void serve(Socket s) {
+    try (s) {
+      long last = new DataInputStream(s.getInputStream()).readLong();
+      hellos.add(last);
+      int next = (int) (last - first);
+      for (int quiet = 0;; quiet++) {
+        if (next < events.size()) {
+          s.getOutputStream().write(events.get(next++));
+        } else if (quiet % 20 == 0) {
+          s.getOutputStream()
+              .write(ByteBuffer.allocate(13).putInt(9).putLong(first + next).put((byte) 0).array());
+        }
+        Thread.sleep(50);
+      }
+    } catch (IOException | InterruptedException e) {
+      // the connection is gone
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    cut();
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/gateway/GatewayProcess.java
@@ -0,0 +1,116 @@
+package reachloom.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** The program, started as a process of its own. */
+final class GatewayProcess implements AutoCloseable {
+  private static final String SETTINGS = """
+      {"balancers":1,"classes":[
+        {"name":"quick","effect":"repeatable","dedupScope":"all","giveUp":3000000000,"goalTime":500000000,
+         "worth":1,"keyTtl":5000000000},
+        {"name":"keyed","effect":"by_key","dedupScope":"all","giveUp":3000000000,"goalTime":500000000,
+         "worth":5,"keyTtl":5000000000},
+        {"name":"once","effect":"once","giveUp":3000000000,"goalTime":500000000,"worth":5}],
+       "limits":{"dialTimeout":250000000,"keepalive":30000000000,"maxAttempts":4,"mayCancel":true,
+         "probes":true,"streamsPerConn":100,"maxOpen":2000},
+       "contract":{"graceToAnswer":20000000,"coldFrom":0.3,"cold":1000000000,"fall":1000000000,
+         "fallMultiple":3},
+       "orgs":[{"name":"one","quotaPerS":1000}],"kinds":["small"],"zones":["here"],"zone":0,"selfIndex":0,
+       "specifics":{"cpuOfKind":[8],"ramOfKindMb":[16000],"widthByClass":[1,1,1],"notePeriod":500000000},
+       "stats":{"names":["util","queue","x0","x1"],"via":"pull"},"tick":5000000,"discovery":"automatic"}
+      """;
+
+  final InetSocketAddress listen;
+  final Path log;
+  private final Process process;
+
+  /** Starts a gateway that knows those engines, numbered from 1. */
+  GatewayProcess(Path folder, ChangeLogStandIn changeLog, InetSocketAddress listen, NodeStandIn... nodes)
+      throws IOException {
+    this.listen = listen;
+    Path config = Files.writeString(folder.resolve("config.json"), config(listen, changeLog, nodes));
+    log = folder.resolve("log" + System.nanoTime());
+    process = start(config, log, "serve");
+  }
+
+  static Process start(Path config, Path log, String... words) throws IOException {
+    List<String> command = new ArrayList<>(List.of(
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-cp",
+        System.getProperty("java.class.path"), "reachloom.Main"));
+    command.addAll(List.of(words));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        .redirectOutput(log.toFile());
+    builder.environment().keySet().removeIf(k -> k.startsWith("LB_"));
+    builder.environment().put("LB_CONFIG", config.toString());
+    return builder.start();
+  }
+
+  static String config(InetSocketAddress listen, ChangeLogStandIn changeLog, NodeStandIn... nodes) {
+    StringBuilder hosts = new StringBuilder();
+    for (int i = 0; i < nodes.length; i++) {
+      hosts.append(i == 0 ? "" : ",").append(String.format("{\"host\":\"s-%08x\",\"dial\":\"%s\","
+          + "\"site\":\"here\",\"class\":\"small\",\"block\":0,\"health\":\"in_service\",\"share\":1,"
+          + "\"born_ms\":0}", i + 1, text(nodes[i].address())));
+    }
+    return String.format("{\"name\":\"g1\",\"listen\":\"%s\",\"seed\":\"8c1f30d27a5be964\","
+        + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"changelog\":\"%s\",\"known\":"
+        + "{\"seq\":1,\"results\":[{\"seq\":1,\"fleet\":{\"seq\":1,\"whole\":true,\"hosts\":[%s]}}]},"
+        + "\"settings\":%s}", text(listen), text(changeLog.address()), hosts, SETTINGS);
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  static InetSocketAddress freeAddress() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return (InetSocketAddress) s.getLocalSocketAddress();
+    }
+  }
+
+  /** Waits until check says good. */
+  void ready() throws IOException, InterruptedException {
+    for (int i = 0; i < 600; i++) {
+      try (ThriftClient c = new ThriftClient(listen)) {
+        if (c.check()) {
+          return;
+        }
+      } catch (IOException e) {
+        if (!process.isAlive()) {
+          throw new IOException("the gateway ended: " + Files.readString(log), e);
+        }
+      }
+      Thread.sleep(50);
+    }
+    throw new IOException("never ready: " + Files.readString(log));
+  }
+
+  void terminate() {
+    process.destroy();
+  }
+
+  void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
+  int exit() throws InterruptedException {
+    return process.waitFor(20, TimeUnit.SECONDS) ? process.exitValue() : -1;
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    kill();
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/gateway/NodeStandIn.java
@@ -0,0 +1,134 @@
+package reachloom.gateway;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * An engine as the protocol page describes it. What it does with a statement is told by a comment in it:
+ * {@code busy}, {@code err}, {@code hang}, {@code die}, {@code late}, {@code pages}, {@code badpage}.
+ */
+final class NodeStandIn implements AutoCloseable {
+  static final String ROW = "a\tb\tc\n";
+
+  final List<String> commands = new CopyOnWriteArrayList<>();
+  private final ConcurrentLinkedQueue<Socket> sockets = new ConcurrentLinkedQueue<>();
+  private final ServerSocket server;
+
+  NodeStandIn() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemon(this::accept);
+  }
+
+  static void daemon(Runnable work) {
+    Thread t = new Thread(work);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  long count(String prefix) {
+    return commands.stream().filter(c -> c.startsWith(prefix)).count();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket s = server.accept();
+        sockets.add(s);
+        daemon(() -> serve(s));
+      }
+    } catch (IOException e) {
+      // closed
+    }
+  }
+
+  private void serve(Socket s) {
+    try (s) {
+      InputStream in = new BufferedInputStream(s.getInputStream());
+      for (String line = line(in); line != null; line = line(in)) {
+        commands.add(line);
+        String[] words = line.split(" ");
+        if (words[0].equals("ASK")) {
+          String statement = new String(in.readNBytes(Integer.parseInt(words[3])), StandardCharsets.UTF_8);
+          in.readNBytes(2);
+          ask(s, words[1], statement);
+        } else if (words[0].equals("INFO") || words[0].equals("NOOP")) {
+          say(s, words[1] + " UP use=util:0.1;queue:0;x0:0.1;x1:0.1", "");
+        } else if (words[0].equals("NEXT")) {
+          say(s, words[1] + " ROWS fetch_no=" + words[2], ROW.repeat(Integer.parseInt(words[2]) + 1));
+        }
+      }
+    } catch (IOException e) {
+      // the connection is gone
+    }
+  }
+
+  private void ask(Socket s, String id, String statement) throws IOException {
+    if (statement.contains("busy")) {
+      say(s, id + " BUSY -", "");
+    } else if (statement.contains("err")) {
+      say(s, id + " ERR -", "");
+    } else if (statement.contains("die")) {
+      s.setSoLinger(true, 0);
+      s.close();
+    } else if (statement.contains("garbage")) {
+      s.getOutputStream().write("no answer at all\r\n".getBytes(StandardCharsets.UTF_8));
+    } else if (statement.contains("badpage")) {
+      say(s, id + " OK fetches=3,effort=5,high=1", ROW);
+      say(s, id + " ROWS fetch_no=2", ROW);
+    } else if (statement.contains("pages")) {
+      say(s, id + " OK fetches=3,effort=5,high=1", ROW);
+    } else if (statement.contains("late")) {
+      daemon(() -> {
+        try {
+          Thread.sleep(300);
+          say(s, id + " OK fetches=1,effort=5,high=1", ROW);
+        } catch (IOException | InterruptedException e) {
+          // too late
+        }
+      });
+    } else if (!statement.contains("hang")) {
+      say(s, id + " OK fetches=1,effort=5,high=1", ROW);
+    }
+  }
+
+  private static void say(Socket s, String head, String body) throws IOException {
+    byte[] bytes = (head + " " + body.length() + "\r\n" + body + "\r\n").getBytes(StandardCharsets.UTF_8);
+    OutputStream out = s.getOutputStream();
+    synchronized (out) {
+      out.write(bytes);
+    }
+  }
+
+  private static String line(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      if (b == '\n') {
+        return text.substring(0, text.length() - 1);
+      }
+      text.append((char) b);
+    }
+    return null;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket s : sockets) {
+      s.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/gateway/ServeTest.java
@@ -0,0 +1,242 @@
+package reachloom.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program and speaks to it over sockets, as its clients, engines and operators do. */
+class ServeTest {
+  @TempDir
+  Path folder;
+
+  private NodeStandIn node;
+  private NodeStandIn other;
+  private ChangeLogStandIn changeLog;
+  private GatewayProcess gateway;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    node = new NodeStandIn();
+    other = new NodeStandIn();
+    changeLog = new ChangeLogStandIn(1);
+    gateway = new GatewayProcess(folder, changeLog, GatewayProcess.freeAddress(), node);
+    gateway.ready();
+  }
+
+  @AfterEach
+  void end() throws IOException, InterruptedException {
+    gateway.close();
+    changeLog.close();
+    node.close();
+    other.close();
+  }
+
+  private static void await(BooleanSupplier wanted) throws InterruptedException {
+    for (int i = 0; i < 300 && !wanted.getAsBoolean(); i++) {
+      Thread.sleep(50);
+    }
+    assertTrue(wanted.getAsBoolean());
+  }
+
+  @Test
+  void queriesAreServedRefusedOrFailedAndEachOnItsOwn() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      assertEquals(NodeStandIn.ROW, c.run("select 1 from sales_1.a").body());
+      String three = NodeStandIn.ROW.repeat(6);
+      assertEquals(three, c.run("select 1 /* pages */ from sales_1.a").body(), "pages in order");
+      await(() -> node.count("FREE") == 1);
+      String ask = "ASK [0-9a-f]{16} queue=quick,budget=\\d+ \\d+";
+      assertTrue(node.commands.stream().anyMatch(l -> l.matches(ask)));
+      // It may have run, so a refusal would promise too much.
+      assertEquals("FAILED", c.run("select 1 /* err */", "verb", "once").kind());
+      assertEquals("FAILED", c.run("select 1 /* badpage */", "verb", "once").kind());
+      assertEquals("BUSY", c.run("select 1 /* busy */", "verb", "once").kind());
+    }
+  }
+
+  @Test
+  void answersComeInAnyOrderAndEachOnce() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      int late = c.execute("select 1 /* late */");
+      List<Integer> numbers = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        numbers.add(c.execute("select 1"));
+      }
+      List<Integer> answered = new ArrayList<>();
+      for (int i = 0; i < 21; i++) {
+        answered.add(c.reply().seq());
+      }
+      assertEquals(late, answered.get(20));
+      assertEquals(new HashSet<>(numbers), new HashSet<>(answered.subList(0, 20)));
+    }
+  }
+
+  @Test
+  void aRequestWhoseTimeIsUpIsAnsweredBeforeTheClientLeaves() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      long start = System.nanoTime();
+      String kind = c.run("select 1 /* hang */", "limit", "700").kind();
+      long ms = (System.nanoTime() - start) / 1_000_000;
+      assertTrue(Set.of("BUSY", "FAILED").contains(kind));
+      assertTrue(ms < 3_000, "after " + ms + " ms");
+      await(() -> node.count("QUIT") >= 1);
+    }
+  }
+
+  @Test
+  void anInterruptedOrLeftRequestIsOwedNothingAndGivenUp() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      int seq = c.execute("select 1 /* hang */");
+      await(() -> node.count("ASK") == 1);
+      c.interrupt(seq);
+      await(() -> node.count("QUIT") == 1);
+      assertTrue(c.check(), "the connection goes on, and nothing came before this answer");
+    }
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      c.execute("select 1 /* hang */");
+      await(() -> node.count("ASK") == 2);
+    }
+    await(() -> node.count("QUIT") == 2);
+  }
+
+  @Test
+  void requestsThatCannotBeUsedNeverReachAnEngine() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      String[][] bad = {{"verb", "strange"}, {"verb", null}, {"team", "two"}, {"limit", null}, {"limit", "0"},
+          {"limit", "-5"}, {"limit", "x"}, {"limit", "99999999999999999999"}, {"txn", "xyz"}, {"txn", null},
+          {"txn", "0123456789abcde\n"}, {"unique", "a,b=c"}, {"unique", "a b"}, {"unique", "a\r\nQUIT x"}};
+      for (String[] change : bad) {
+        assertTrue(Set.of("BUSY", "FAILED").contains(c.run("select 1", change).kind()), change[0]);
+      }
+      assertEquals("FAILED", c.run("select 1", "verb", "keyed").kind(), "a keyed class without its key");
+      c.unknown();
+      assertEquals("EXCEPTION", c.reply().kind());
+      assertEquals(0, node.count("ASK"));
+      c.execute("select 1 /* late */", "txn", "00000000000000aa");
+      c.execute("select 1", "txn", "00000000000000aa");
+      assertEquals(Set.of("ANSWER", "FAILED"), Set.of(c.reply().kind(), c.reply().kind()));
+      assertEquals(1, node.count("ASK"));
+    }
+  }
+
+  @Test
+  void bytesThatAreNoMessageEndTheirConnectionAndNoOther() throws Exception {
+    try (ThriftClient good = new ThriftClient(gateway.listen)) {
+      byte[][] streams = {{-1, -1, -1, -1}, {0, 0, 0, 0}, {0, 0, 0, 4, 1, 2, 3, 4},
+          "GET / HTTP/1.1\r\n".getBytes()};
+      for (byte[] stream : streams) {
+        try (ThriftClient bad = new ThriftClient(gateway.listen)) {
+          bad.raw(stream);
+          assertThrows(IOException.class, bad::reply);
+        }
+      }
+      assertEquals("ANSWER", good.run("select 1").kind());
+    }
+  }
+
+  @Test
+  void anEngineThatDiesOrBabblesCostsNoSecondRunWhereThatIsNotAllowed() throws Exception {
+    changeLog.add(2, other, 0);
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      assertEquals("FAILED", c.run("select 1 /* die */", "verb", "once").kind());
+      assertEquals(1, node.count("ASK") + other.count("ASK"));
+      assertEquals("FAILED", c.run("select 1 /* garbage */", "verb", "once").kind());
+      assertEquals(2, node.count("ASK") + other.count("ASK"));
+    }
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      assertTrue(c.check());
+    }
+  }
+
+  @Test
+  void theChangeLogIsFollowedAndFoundAgainFromTheLastEvent() throws Exception {
+    await(() -> changeLog.hellos.contains(1L));
+    changeLog.add(2, other, 0);
+    changeLog.add(1, node, 2);
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      await(() -> {
+        try {
+          return c.run("select 1").kind().equals("ANSWER") && other.count("ASK") > 0;
+        } catch (IOException e) {
+          return false;
+        }
+      });
+      changeLog.cut();
+      await(() -> changeLog.hellos.contains(3L));
+      long before = node.count("ASK");
+      for (int i = 0; i < 10; i++) {
+        assertEquals("ANSWER", c.run("select 1").kind());
+      }
+      assertEquals(before, node.count("ASK"), "nothing goes to an engine that is gone");
+    }
+  }
+
+  @Test
+  void stoppingGoesOnServingThenEndsWell() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      int late = c.execute("select 1 /* late */");
+      int hanging = c.execute("select 1 /* hang */", "limit", "60000");
+      await(() -> node.count("ASK") == 2);
+      gateway.terminate();
+      Thread.sleep(150);
+      try (ThriftClient second = new ThriftClient(gateway.listen)) {
+        assertFalse(second.check(), "no new clients are wanted");
+        assertEquals("ANSWER", second.run("select 1").kind());
+      }
+      ThriftClient.Reply first = c.reply();
+      assertEquals(late, first.seq());
+      assertEquals("ANSWER", first.kind());
+      assertEquals(hanging, c.reply().seq());
+    }
+    assertEquals(0, gateway.exit());
+    assertTrue(Files.readString(gateway.log).contains("has stopped"), "the last line is not lost");
+  }
+
+  @Test
+  void aKilledGatewayStartsAgainUnderItsAddress() throws Exception {
+    gateway.kill();
+    gateway = new GatewayProcess(folder, changeLog, gateway.listen, node);
+    gateway.ready();
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      assertEquals("ANSWER", c.run("select 1").kind());
+    }
+  }
+
+  @Test
+  void anAddressThatIsTakenEndsTheStartWithOneLine() throws Exception {
+    Path log = folder.resolve("second");
+    Process second = GatewayProcess.start(folder.resolve("config.json"), log, "serve");
+    assertTrue(second.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(1, second.exitValue());
+    assertTrue(Files.readString(log).contains("can't be bound"));
+    assertEquals(1, Files.readAllLines(log).size());
+    assertTrue(gateway.alive());
+  }
+
+  @Test
+  void aBadConfigurationEndsTheStartNamingTheKey() throws Exception {
+    Path config = folder.resolve("bad.json");
+    String good = Files.readString(folder.resolve("config.json"));
+    Files.writeString(config, good.replace("\"seed\":", "\"sead\":"));
+    Path log = folder.resolve("bad.log");
+    Process bad = GatewayProcess.start(config, log, "serve");
+    assertTrue(bad.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(2, bad.exitValue());
+    assertEquals(List.of("reachloom: seed: is missing"), Files.readAllLines(log));
+  }
+}
