--- a/src/test/java/reachloom/MainTest.java
+++ b/src/test/java/reachloom/MainTest.java
@@ -6,7 +6,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Sub-commands, their output and exit status. */
 class MainTest {
@@ -31,4 +34,24 @@
     assertTrue(out.toString().contains("benchlink"));
     assertEquals(0, err.size());
   }
+
+  @Test
+  void versionIsOneLine() throws Exception {
+    assertEquals(0, run("version"));
+    assertTrue(out.toString().matches("reachloom \\S+\\R"));
+  }
+
+  @Test
+  void unknownOptionsAndTooManyWordsAreBadUse() throws Exception {
+    assertEquals(2, run("--strange"));
+    assertEquals(2, run("version", "more"));
+    assertEquals(2, run("check-config"));
+  }
+
+  @Test
+  void checkConfigNamesWhatIsWrong(@TempDir Path folder) throws Exception {
+    Path file = Files.writeString(folder.resolve("c.json"), "{\"settings\":{\"classes\":[]}}");
+    assertEquals(2, run("check-config", file.toString()));
+    assertEquals("reachloom: settings.classes: names no class" + System.lineSeparator(), err.toString());
+  }
 }
--- a/src/test/java/reachloom/ShapeTest.java
+++ b/src/test/java/reachloom/ShapeTest.java
@@ -67,6 +67,37 @@
     assertEquals(List.of(), matches(Path.of("src/main"), names));
   }
 
+  @Test
+  void codecsKnowNoSockets() throws IOException {
+    Pattern sockets = Pattern.compile(
+        "import (org\\.apache\\.mina|java\\.nio\\.channels|java\\.net\\.Socket)");
+    List<String> wired = matches(MAIN.resolve("gateway/wire"), sockets).stream()
+        .filter(m -> !m.matches(".*/(DecodingHandler|Sockets|Listener)\\.java:.*")).toList();
+    assertEquals(List.of(), wired);
+  }
+
+  @Test
+  void packagesDependOneWay() throws IOException {
+    Pattern up = Pattern.compile("import reachloom\\.(Choice|benchlink|gateway)\\b");
+    assertNone(up, MAIN.resolve("config"), MAIN.resolve("state"), CHOICE, MAIN.resolve("Decisions.java"));
+    Pattern wire = Pattern.compile(
+        "import reachloom\\.(Choice|benchlink|state|gateway\\.(wire|lifecycle))\\b");
+    assertNone(wire, MAIN.resolve("gateway/tables"));
+    Pattern front = Pattern.compile("import reachloom\\.(state|benchlink)\\b");
+    assertNone(front, MAIN.resolve("gateway"));
+  }
+
+  @Test
+  void frontsKeepNoDecisions() throws IOException {
+    // The module alone looks at how engines report, rest or are loaded, and draws by chance.
+    Pattern decisions = Pattern.compile("\\.(util|queue|memoryShare|diskShare|crossPrice|probePrice|worth|aim"
+        + "|keyWindow|coldShare|fallMultiple|lookBack)\\(\\)|\\bRandom\\b|Math\\.random");
+    assertNone(decisions, MAIN.resolve("gateway"), MAIN.resolve("benchlink"));
+    // Its own answers are three: unusable or without room, never sent, out of time; see architecture.md.
+    assertEquals(5, matches(MAIN.resolve("gateway/Gateway.java"),
+        Pattern.compile("ThriftWriter\\.(busy|failed)\\(")).size());
+  }
+
   private static void assertNone(Pattern pattern, Path... roots) throws IOException {
     for (Path root : roots) {
       assertEquals(List.of(), matches(root, pattern));
