--- a/src/main/java/reachloom/gateway/tables/Client.java
+++ b/src/main/java/reachloom/gateway/tables/Client.java
@@ -10,9 +10,6 @@
   public long handle;
   /** The open requests by their numbers. */
   public final Map<Integer, Request> open = new HashMap<>();
-  /** When it last took bytes, while some wait for it. */
-  public long lastProgress;
-  public long lastWritten;
 
   /** A connection just accepted. */
   public Client(IoSession session) {
