One way to conclude a request, one to find an engine's connection; plainer tests

Gateway.refuse and fail were twins, as were the look-ups in Engines.send and probe; an argument that nothing read is gone, a comment on silent connections that no longer held is right, and FrontsTest takes a query in one place. Behaviour stays as it was.

--- a/src/main/java/reachloom/gateway/Engines.java
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,7 +16,6 @@
 import reachloom.Decisions.NoteKind;
 import reachloom.Decisions.Outcome;
 import reachloom.Decisions.Report;
-import reachloom.config.GatewayConfig.Names;
 import reachloom.config.GatewayConfig.Transport;
 import reachloom.config.Member;
 import reachloom.gateway.tables.Attempt;
@@ -53,7 +53,7 @@
     void probed(String engine, boolean answered, Report report);
   }
 
-  private final class Peer {
+  private static final class Peer {
     private Member member;
     private final List<Link> links = new ArrayList<>();
   }
@@ -68,8 +68,7 @@
   private long probeCount;
   private long gathered;
 
-  Engines(Loop loop, Sockets sockets, Watcher watcher, Transport transport, Names names, boolean reports,
-      int mostLinks) {
+  Engines(Loop loop, Sockets sockets, Watcher watcher, Transport transport, boolean reports, int mostLinks) {
     this.loop = loop;
     this.watcher = watcher;
     this.transport = transport;
@@ -108,8 +107,7 @@
 
   /** Brings an attempt to its engine; what becomes of it is told later, never within this call. */
   void send(Attempt a) {
-    Peer peer = peers.get(a.engine);
-    Link link = peer == null || peer.member == null ? null : link(peer, a);
+    Link link = link(a.engine, a);
     if (link == null) {
       loop.later(() -> end(a, Outcome.UNREACHED));
       return;
@@ -123,7 +121,11 @@
   }
 
   /** A connection with room, which no earlier attempt of the request used: late answers can't be mixed up. */
-  private Link link(Peer peer, Attempt a) {
+  private Link link(String engine, Attempt a) {
+    Peer peer = peers.get(engine);
+    if (peer == null || peer.member == null) {
+      return null;
+    }
     Link best = null;
     for (Link l : peer.links) {
       boolean fresh = a == null || a.request.attempts.stream().noneMatch(o -> o.link == l);
@@ -191,8 +193,7 @@
 
   /** Asks an engine how it is. */
   void probe(String engine) {
-    Peer peer = peers.get(engine);
-    Link link = peer == null || peer.member == null ? null : link(peer, null);
+    Link link = link(engine, null);
     if (link == null) {
       loop.later(() -> watcher.probed(engine, false, null));
       return;
@@ -260,7 +261,7 @@
     l.idle = null;
   }
 
-  /** A connection on which nothing is open is closed when it is silent, or idle for long. */
+  /** A connection on which nothing is open is closed once its engine is gone, or when it is idle for long. */
   private void rest(Link l) {
     if (l.closed || !l.unused() || l.session == null) {
       return;
@@ -311,7 +312,7 @@
     }
   }
 
-  private void write(Link l, java.nio.ByteBuffer bytes) {
+  private void write(Link l, ByteBuffer bytes) {
     if (l.session != null && !l.closed) {
       Sockets.write(l.session, bytes);
     }
--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -92,7 +92,7 @@
     int third = config.sockets() / 3;
     clients = new Slots<>(third);
     requests = new Slots<>(config.transport().maxOpen());
-    engines = new Engines(loop, sockets, this, config.transport(), config.names(),
+    engines = new Engines(loop, sockets, this, config.transport(),
         config.settings().traits().reports(), third);
     changeLog = new ChangeLog(loop, sockets, config.changeLog(), config.lastEvent(), config.seed(),
         config.names().zones().size(), config.names().kinds().size(), this::changed, this::changeLogAway);
@@ -446,18 +446,19 @@
 
   @Override
   public void refuse(String query, long retryAfter) {
-    Request r = byId.get(query);
-    if (r != null && !r.over) {
-      answer(r, ThriftWriter.busy(r.seq));
-      drop(r);
-    }
+    conclude(query, r -> ThriftWriter.busy(r.seq));
   }
 
   @Override
   public void fail(String query) {
+    conclude(query, r -> ThriftWriter.failed(r.seq));
+  }
+
+  /** The module's final answer; one that comes after another changes nothing. */
+  private void conclude(String query, Function<Request, ByteBuffer> words) {
     Request r = byId.get(query);
     if (r != null && !r.over) {
-      answer(r, ThriftWriter.failed(r.seq));
+      answer(r, words.apply(r));
       drop(r);
     }
   }
--- a/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/src/test/java/reachloom/gateway/FrontsTest.java
@@ -139,12 +139,22 @@
     loop.post(0, action);
   }
 
+  private Query taken(ThriftClient c, String statement, String... changes) throws Exception {
+    c.execute(statement, changes);
+    return next(Query.class);
+  }
+
+  private void awaitAsk() throws InterruptedException {
+    while (node.count("ASK") == 0) {
+      Thread.sleep(1);
+    }
+  }
+
   @Test
   void bothFrontsTellTheSameStory() throws Exception {
     List<Object> sockets = new ArrayList<>();
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* note */ from sales_3.a", "txn", "00000000000000ab");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* note */ from sales_3.a", "txn", "00000000000000ab");
       sockets.add(new Query(q.id(), q.queryClass(), q.tenant(), q.key(), 0, q.cost(), q.memoryMb(), q.group(),
           q.repeat()));
       assertTrue(q.timeLeft() > 1_000_000_000 && q.timeLeft() <= 1_500_000_000, "in nanoseconds");
@@ -174,12 +184,9 @@
   @Test
   void aGivenUpAttemptIsToldOnceItsQuitHasHadTimeToArrive() throws Exception {
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* hang */");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* hang */");
       act(() -> actions.send(q.id(), "s-00000001", 0));
-      while (node.count("ASK") == 0) {
-        Thread.sleep(1);
-      }
+      awaitAsk();
       long[] at = new long[1];
       act(() -> {
         at[0] = System.nanoTime();
@@ -197,8 +204,7 @@
   @Test
   void oneEndIsToldForEachSendWhateverBecomesOfIt() throws Exception {
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* hang */");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* hang */");
       act(() -> actions.send(q.id(), "s-00000099", 0));
       assertEquals(Outcome.UNREACHED, next(AttemptEnd.class).outcome(), "an engine that is not known");
       act(() -> actions.send(q.id(), "s-00000001", 30_000_000));
@@ -210,8 +216,7 @@
         actions.send(q.id(), "s-00000001", 0);
       });
       assertEquals("FAILED", c.reply().kind());
-      c.execute("select 1 /* err */");
-      Query second = next(Query.class);
+      Query second = taken(c, "select 1 /* err */");
       for (int i = 0; i < config.settings().limits().maxAttempts(); i++) {
         act(() -> actions.send(second.id(), "s-00000001", 0));
         assertEquals(Outcome.ERROR, next(AttemptEnd.class).outcome());
@@ -224,8 +229,7 @@
   @Test
   void anIdThatComesBackOnAnEngineUsesAnotherConnection() throws Exception {
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* slow first */");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* slow first */");
       act(() -> actions.send(q.id(), "s-00000001", 20_000_000));
       assertEquals(Outcome.TIMEOUT, next(AttemptEnd.class).outcome());
       act(() -> actions.send(q.id(), "s-00000001", 0));
@@ -250,8 +254,7 @@
   @Test
   void notesAreToldByTheirKind() throws Exception {
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* allnotes */");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* allnotes */");
       act(() -> actions.send(q.id(), "s-00000001", 0));
       List<NoteKind> kinds = new ArrayList<>();
       for (int i = 0; i < 5; i++) {
@@ -265,12 +268,9 @@
   @Test
   void anEngineThatStartedAnewGetsConnectionsOfItsOwn() throws Exception {
     try (ThriftClient c = new ThriftClient(config.listen())) {
-      c.execute("select 1 /* hang */");
-      Query q = next(Query.class);
+      Query q = taken(c, "select 1 /* hang */");
       act(() -> actions.send(q.id(), "s-00000001", 0));
-      while (node.count("ASK") == 0) {
-        Thread.sleep(1);
-      }
+      awaitAsk();
       changeLog.add(1, node, 0, System.currentTimeMillis());
       next(List.class);
       assertEquals(Outcome.RESET, next(AttemptEnd.class).outcome(), "it may have run on the old process");
@@ -286,8 +286,7 @@
       // A wake-up that is late by tens of milliseconds must still leave the answer in time.
       for (String[] limit : new String[][] {{"1500", "1420"}, {"300", "270"}}) {
         node.commands.clear();
-        c.execute("select 1 /* hang */", "limit", limit[0]);
-        Query q = next(Query.class);
+        Query q = taken(c, "select 1 /* hang */", "limit", limit[0]);
         act(() -> actions.send(q.id(), "s-00000001", 0));
         assertEquals(Outcome.TIMEOUT, next(AttemptEnd.class).outcome());
         String ask = node.commands.stream().filter(l -> l.startsWith("ASK")).findFirst().orElseThrow();
