SIGHUP reads the configuration again and follows the change log at its new address

The source has no handler for SIGHUP, and the virtual machine's own runs the shutdown hook (Server.run), which ends the process.

Now a handler reads the file through reachloom.config, off the loop, and ChangeLog.follow takes over the new address and newer events of known; what can't change is logged by key and left. The change log's pauses between tries end at 0.4 s instead of 1 s: a log that broke off counts as told after 2 s.

--- a/src/main/java/reachloom/Main.java
+++ b/src/main/java/reachloom/Main.java
@@ -65,7 +65,8 @@
     try {
       switch (command) {
         case "serve" -> {
-          return new Server(GatewayConfig.fromEnvironment(System.getenv())).run();
+          Map<String, String> environment = System.getenv();
+          return new Server(GatewayConfig.fromEnvironment(environment), environment).run();
         }
         case "benchlink" -> {
           return new BenchLink(err).serve(System.in, out);
--- a/src/main/java/reachloom/config/GatewayConfig.java
+++ b/src/main/java/reachloom/config/GatewayConfig.java
@@ -48,6 +48,23 @@
   public record Transport(long dialTimeout, long keepalive, int streamsPerConn, int maxOpen) {
   }
 
+  /** The keys whose values in a configuration read anew differ and can't change while the gateway runs. */
+  public List<String> fixed(GatewayConfig next) {
+    List<String> keys = new ArrayList<>();
+    difference(keys, "name", name, next.name);
+    difference(keys, "listen", listen, next.listen);
+    difference(keys, "limits.sockets", sockets, next.sockets);
+    boolean settingsAgree = settings.equals(next.settings) && names.equals(next.names);
+    difference(keys, "settings", settingsAgree && transport.equals(next.transport), true);
+    return keys;
+  }
+
+  private static void difference(List<String> keys, String key, Object value, Object next) {
+    if (!value.equals(next)) {
+      keys.add(key);
+    }
+  }
+
   /** Reads the file that the environment names, with name and address from there too where it gives them. */
   public static GatewayConfig fromEnvironment(Map<String, String> environment) throws ConfigException {
     String file = environment.get("LB_CONFIG");
--- a/src/main/java/reachloom/gateway/ChangeLog.java
+++ b/src/main/java/reachloom/gateway/ChangeLog.java
@@ -3,12 +3,14 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.config.Member;
 import reachloom.gateway.tables.Deadlines.Deadline;
 import reachloom.gateway.wire.Change;
 import reachloom.gateway.wire.ChangeLogDecoder;
@@ -25,14 +27,15 @@
   private static final long MOST_SILENCE = 2_500 * MILLISECOND;
   private static final long DIAL_TIMEOUT = 500 * MILLISECOND;
   private static final long FIRST_PAUSE = 100 * MILLISECOND;
-  private static final long LONGEST_PAUSE = 1_000 * MILLISECOND;
+  /** Short beside the 2 s within which a gateway has to find a log again that broke off. */
+  private static final long LONGEST_PAUSE = 400 * MILLISECOND;
 
   private final Loop loop;
-  private final InetSocketAddress address;
   private final NioSocketConnector connector;
   private final SplittableRandom random;
   private final Consumer<Change> news;
   private final Runnable away;
+  private InetSocketAddress address;
   private long last;
   /** The last event held when a gap was met. */
   private long gapAt = -1;
@@ -42,6 +45,7 @@
   private IoSession session;
   private ConnectFuture dialling;
   private Deadline silence;
+  private Deadline retry;
 
   ChangeLog(Loop loop, Sockets sockets, InetSocketAddress address, long last, long seed, int zones, int kinds,
       Consumer<Change> news, Runnable away) {
@@ -55,6 +59,26 @@
         new DecodingHandler<>("change log", () -> new ChangeLogDecoder(zones, kinds), new Heard()));
   }
 
+  /**
+   * Takes over what a configuration read anew tells: events beyond the last one held, and where the log is
+   * now. Nothing is waited for: the old address tells no more, and the new one goes on with the same numbers.
+   */
+  void follow(InetSocketAddress now, long lastKnown, List<Member> known) {
+    if (lastKnown > last) {
+      last = lastKnown;
+      news.accept(new Change(lastKnown, false, true, known));
+    }
+    if (now.equals(address)) {
+      return;
+    }
+    LOG.log(Level.INFO, "change log: {0} from now on instead of {1}, after event {2}", now, address,
+        Long.toString(last));
+    address = now;
+    pause = FIRST_PAUSE;
+    letGo();
+    connect();
+  }
+
   void connect() {
     long mine = ++round;
     dialling = connector.connect(address, (s, f) -> s.setAttribute(ROUND, mine));
@@ -79,19 +103,25 @@
     }
     LOG.log(Level.INFO, "change log at {0}: {1}; the list of event {2} stays", address, why,
         Long.toString(last));
+    letGo();
+    // Half of it by chance, so that gateways that lost it together come back one by one.
+    long wait = pause / 2 + random.nextLong(pause / 2 + 1);
+    pause = Math.min(LONGEST_PAUSE, pause * 2);
+    retry = loop.deadlines().add(loop.now() + wait, this::connect);
+    away.run();
+  }
+
+  /** Ends the connection, or the one that is being made, or the wait for the next one. */
+  private void letGo() {
     round++;
     loop.deadlines().cancel(silence);
+    loop.deadlines().cancel(retry);
     if (session != null) {
       session.closeNow();
       session = null;
     } else if (dialling != null) {
       Sockets.giveUp(dialling);
     }
-    // Half of it by chance, so that gateways that lost it together come back one by one.
-    long wait = pause / 2 + random.nextLong(pause / 2 + 1);
-    pause = Math.min(LONGEST_PAUSE, pause * 2);
-    loop.deadlines().add(loop.now() + wait, this::connect);
-    away.run();
   }
 
   private void heard(Change change) {
--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -113,6 +113,11 @@
     sockets.listen(config.listen(), new DecodingHandler<>("client", CallDecoder::new, new Heard()));
   }
 
+  /** Takes over from a configuration read anew what may change while the gateway runs. */
+  public void reload(GatewayConfig next) {
+    changeLog.follow(next.changeLog(), next.lastEvent(), next.known());
+  }
+
   /** What {@code check} answers from now on. */
   public void good(boolean value) {
     good = value;
--- a/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import reachloom.Choice;
+import reachloom.config.ConfigException;
 import reachloom.config.GatewayConfig;
 import reachloom.gateway.Gateway;
 import reachloom.gateway.Loop;
+import sun.misc.Signal;
 
 /** Runs one gateway from its start to its end. */
 public final class Server {
@@ -23,14 +26,16 @@
   private static final long FLUSH = 150 * MILLISECOND;
 
   private final GatewayConfig config;
+  private final Map<String, String> environment;
   private final Loop loop = new Loop();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Gateway gateway;
   private boolean stopping;
 
-  /** A server that has not started. */
-  public Server(GatewayConfig config) {
+  /** A server that has not started; the environment names the file that SIGHUP reads again. */
+  public Server(GatewayConfig config, Map<String, String> environment) {
     this.config = config;
+    this.environment = environment;
   }
 
   /** Serves until SIGTERM; gives the exit status. */
@@ -42,6 +47,8 @@
       LOG.log(Level.ERROR, "listen: {0} can''t be bound: {1}", config.listen(), e.getMessage());
       return 1;
     }
+    // Without a handler the virtual machine ends on SIGHUP; each signal comes on a thread of its own.
+    Signal.handle(new Signal("HUP"), s -> reload());
     // Only from here on: a start that fails ends at once.
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
     loop.post(0, gateway::start);
@@ -64,6 +71,23 @@
     }
   }
 
+  /** Reads the configuration again, off the loop; one that can't be used leaves the old one in force. */
+  private synchronized void reload() {
+    GatewayConfig next;
+    try {
+      next = GatewayConfig.fromEnvironment(environment);
+    } catch (ConfigException | RuntimeException e) { // a file in any state must not end the gateway
+      LOG.log(Level.WARNING, "the configuration stays as it is: {0}", e.getMessage());
+      return;
+    }
+    for (String key : config.fixed(next)) {
+      LOG.log(Level.WARNING, "{0}: has changed, which takes effect at the next start only", key);
+    }
+    LOG.log(Level.INFO, "the configuration is read again: changelog {0}, known up to event {1}",
+        next.changeLog(), Long.toString(next.lastEvent()));
+    loop.post(0, () -> gateway.reload(next));
+  }
+
   /** On SIGTERM: the process goes on until the loop has ended, then exits as one that stopped well. */
   private void terminate() {
     loop.post(0, this::stop);
--- a/src/test/java/reachloom/config/GatewayConfigTest.java
+++ b/src/test/java/reachloom/config/GatewayConfigTest.java
@@ -61,6 +61,9 @@
     assertEquals(new GatewayConfig.Transport(250_000_000, 5_000_000_000L, 100, 20_000), config.transport());
     assertEquals(512, config.sockets());
     assertEquals(0xfc1f30d27a5be964L, config.seed());
+    assertEquals(List.of(), config.fixed(parse(GOOD.replace("127.2.0.1:4222", "127.2.0.2:4222"))));
+    assertEquals(List.of("name", "limits.sockets", "settings"), config.fixed(parse(GOOD.replace("n3", "n4")
+        .replace("\"sockets\":512", "\"sockets\":256").replace("\"keepalive\":5", "\"keepalive\":6"))));
   }
 
   @Test
--- a/src/test/java/reachloom/gateway/GatewayProcess.java
+++ b/src/test/java/reachloom/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -30,13 +31,14 @@
 
   final InetSocketAddress listen;
   final Path log;
+  private final Path config;
   private final Process process;
 
   /** Starts a gateway that knows those engines, numbered from 1. */
   GatewayProcess(Path folder, ChangeLogStandIn changeLog, InetSocketAddress listen, NodeStandIn... nodes)
       throws IOException {
     this.listen = listen;
-    Path config = Files.writeString(folder.resolve("config.json"), config(listen, changeLog, nodes));
+    config = Files.writeString(folder.resolve("config.json"), config(listen, changeLog, nodes));
     log = folder.resolve("log" + System.nanoTime());
     process = start(config, log, "serve");
   }
@@ -93,6 +95,16 @@
     throw new IOException("never ready: " + Files.readString(log));
   }
 
+  /** Replaces the configuration file. */
+  void configure(String text) throws IOException {
+    Path next = Files.writeString(config.resolveSibling("next.json"), text);
+    Files.move(next, config, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  void hangUp() throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+  }
+
   void terminate() {
     process.destroy();
   }
--- a/src/test/java/reachloom/gateway/ServeTest.java
+++ b/src/test/java/reachloom/gateway/ServeTest.java
@@ -186,6 +186,65 @@
     }
   }
 
+  private void awaitLine(String part) throws InterruptedException {
+    await(() -> {
+      try {
+        return Files.readString(gateway.log).contains(part);
+      } catch (IOException e) {
+        return false;
+      }
+    });
+  }
+
+  @Test
+  void hangingUpMovesTheChangeLogAndDisturbsNoRequest() throws Exception {
+    try (ThriftClient c = new ThriftClient(gateway.listen);
+        ChangeLogStandIn moved = new ChangeLogStandIn(1)) {
+      await(() -> changeLog.hellos.contains(1L));
+      int late = c.execute("select 1 /* late */");
+      gateway.configure(GatewayProcess.config(gateway.listen, moved, node));
+      gateway.hangUp();
+      gateway.hangUp(); // the same file again
+      assertEquals(late, c.reply().seq());
+      await(() -> moved.hellos.contains(1L));
+      assertEquals(1, moved.hellos.size(), "one connection, also where the same is told again");
+      moved.add(2, other, 0);
+      moved.add(1, node, 2);
+      changeLog.add(2, other, 2); // told by nobody that is still listened to
+      await(() -> {
+        try {
+          return c.run("select 1").kind().equals("ANSWER") && other.count("ASK") > 0;
+        } catch (IOException e) {
+          return false;
+        }
+      });
+      long before = node.count("ASK");
+      assertEquals("ANSWER", c.run("select 1").kind());
+      assertEquals(before, node.count("ASK"), "the new log has told that the engine is gone");
+    }
+  }
+
+  @Test
+  void aConfigurationThatCannotBeUsedChangesNothing() throws Exception {
+    String good = Files.readString(folder.resolve("config.json"));
+    await(() -> changeLog.hellos.contains(1L));
+    String[][] files = {{"{\"name\":", "is not JSON"}, {"", "the configuration: is missing"},
+        {good.replace("\"changelog\":", "\"chanjelog\":"), "changelog: is missing"},
+        {good.replace("\"sockets\":1024", "\"sockets\":512"), "limits.sockets: has changed"}};
+    for (String[] file : files) {
+      gateway.configure(file[0]);
+      gateway.hangUp();
+      awaitLine(file[1]);
+    }
+    try (ThriftClient c = new ThriftClient(gateway.listen)) {
+      assertEquals("ANSWER", c.run("select 1").kind());
+    }
+    assertEquals(1, changeLog.hellos.size(), "the old address is still followed");
+    gateway.terminate();
+    gateway.hangUp();
+    assertEquals(0, gateway.exit());
+  }
+
   @Test
   void stoppingGoesOnServingThenEndsWell() throws Exception {
     try (ThriftClient c = new ThriftClient(gateway.listen)) {
