An error counts against its engine only once its query is done; resets of one break count once

Checked by a trace of arrivals, ends and the module's view: 375 attempts ended in ERROR, 0 ms after they were sent, nearly all of requests with ids that no engine knows, each tried at five engines in turn; three or four of five engines rested all the time with shares of errors around 0.35 while their loads were near 0. Ruled out: CPU (4 to 5 s of 25 s), tenants' tokens, the bound (not pressed), reports (not busy). At fault: Choice.judge, which took each ERROR as trouble of the engine, and each RESET of one connection as another one. Engines.withdraw also called a connection silent when a request was withdrawn within a millisecond, and dialled up to eight of them.

Now an error counts once its query is done: where another engine served it, or where it erred at one engine only. Resets within 20 ms count once. A connection is suspect only after silence for as long as a dial may take.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -54,6 +54,7 @@
   private static final double ERROR_LOAD = 3; // load for each unit of the share of errors
   private static final long REST = 1_000 * MILLISECOND; // first rest, doubled with each further trouble
   private static final int REST_DOUBLINGS = 3; // so that a healed engine is back within eight rests
+  private static final long ONE_BREAK = 20 * MILLISECOND; // resets so close together are one connection's
   private static final double LOST_NOTES = 1.5; // note periods without a sign of an attempt: it is lost
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
@@ -135,11 +136,8 @@
       e.info = entry;
       e.state = entry.state();
     }
-    for (Engine e : engines.values()) {
-      if (complete && !named.contains(e.name)) {
-        e.state = EngineState.GONE;
-      }
-    }
+    engines.values().stream().filter(e -> complete && !named.contains(e.name))
+        .forEach(e -> e.state = EngineState.GONE);
     engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
     List<Engine> up = engines.values().stream().filter(e -> e.state == EngineState.UP).toList();
     pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
@@ -271,14 +269,12 @@
     }
     if (end.memoryMb() > 0) {
       c.memory.add(end.memoryMb(), LEARN_WEIGHT);
-      double estimated = q.query.memoryMb();
-      c.memoryFactor.add(estimated > 0 ? end.memoryMb() / estimated : 1, LEARN_WEIGHT);
+      c.memoryFactor.add(q.query.memoryMb() > 0 ? end.memoryMb() / q.query.memoryMb() : 1, LEARN_WEIGHT);
     }
     c.time.add(time / e.ratio, LEARN_WEIGHT);
     c.served.add(cost(q), LEARN_WEIGHT);
     c.factor = c.time.value / c.served.value;
-    double ratio = time / Math.max(a.predicted, 1e-3);
-    ratio = e.ratio + RATIO_WEIGHT * (ratio - e.ratio);
+    double ratio = e.ratio + RATIO_WEIGHT * (time / Math.max(a.predicted, 1e-3) - e.ratio);
     e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
@@ -418,10 +414,6 @@
     return !q.asked.isEmpty();
   }
 
-  private boolean asking(long now, QueryRecord q) {
-    return now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
-  }
-
   private boolean reportsTold() {
     return settings.limits().probes() && settings.traits().reports();
   }
@@ -434,8 +426,8 @@
   /** The less loaded of two drawn engines with room; null where none has. */
   private Engine pick(long now, QueryRecord q) {
     List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
-    long askedAt = q.askedUntil - ASK_WAIT; // one that has not answered since is busy, or worse
-    List<Engine> asked = open.stream().filter(e -> q.asked.contains(e) && e.reportAt >= askedAt).toList();
+    List<Engine> asked = open.stream() // one that has not answered since is busy, or worse
+        .filter(e -> q.asked.contains(e) && e.reportAt >= q.askedUntil - ASK_WAIT).toList();
     List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
     return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
   }
@@ -605,14 +597,6 @@
     Attempt a = q.attempts.get(end.attempt());
     settle(now, q, a, end);
     judge(now, a, end);
-    if (end.outcome() == Outcome.SERVED || end.outcome() == Outcome.FULL) {
-      notePool(end.outcome() == Outcome.FULL);
-    }
-    if (end.outcome() == Outcome.SERVED) {
-      learn(now, a, end);
-    } else if (end.outcome() == Outcome.TIMEOUT) {
-      noteStrain(a.engine, 1, cost(q));
-    }
     q.over |= end.over();
     if (!q.over && q.out == 0) {
       goOn(now, q);
@@ -622,10 +606,9 @@
   }
 
   private void settle(long now, QueryRecord q, Attempt a, AttemptEnd end) {
-    Engine e = a.engine;
     a.ended = true;
     q.out--;
-    e.remove(a);
+    a.engine.remove(a);
     pool.remove(a);
     if (end.outcome().mayHaveRun) {
       q.mayHaveRun(a);
@@ -633,30 +616,44 @@
     if (q.keyLine != null && end.outcome().mayRunOn) {
       q.keyLine.restUntil = Math.max(q.keyLine.restUntil, now + settings.rules().orderSettle());
     }
-    noteReport(now, e, end.report());
+    noteReport(now, a.engine, end.report());
   }
 
   /** Health by symptom: errors, resets and failed connects are trouble, an answer ends it. */
   private void judge(long now, Attempt a, AttemptEnd end) {
     Engine e = a.engine;
-    boolean bad = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
-        || end.outcome() == Outcome.UNREACHED;
-    if (bad) {
-      noteTrouble(now, e, e.errors + ERROR_WEIGHT * (1 - e.errors) > ERRORS_BAD);
+    boolean reset = end.outcome() == Outcome.RESET && now - e.resetAt >= ONE_BREAK;
+    e.resetAt = reset ? now : e.resetAt;
+    a.erred = end.outcome() == Outcome.ERROR && !end.over();
+    if (end.outcome() == Outcome.ERROR && !a.erred || reset || end.outcome() == Outcome.UNREACHED) {
+      noteTrouble(now, e, ERRORS_BAD);
     } else if (end.outcome() == Outcome.SERVED) {
+      noteErrors(now, a.query, true);
       e.errors -= ERROR_WEIGHT * e.errors;
       e.lastSign = now;
       e.troubles = e.errors <= ERRORS_BAD ? 0 : e.troubles;
+      notePool(false);
+      learn(now, a, end);
     } else if (end.outcome() == Outcome.FULL) {
       e.fullUntil = now + FULL_REST;
       e.restUntil = Math.max(e.restUntil, e.fullUntil); // also one that hangs is full after a while
       e.bound = Math.max(widest, Math.min(e.bound, e.threads) * BOUND_CUT);
+      notePool(true);
+    } else if (end.outcome() == Outcome.TIMEOUT) {
+      noteStrain(e, 1, cost(a.query));
     }
   }
 
-  private void noteTrouble(long now, Engine e, boolean rests) {
+  /** An error counts once its query is done: what errs at several engines and runs at none is a bad query. */
+  private void noteErrors(long now, QueryRecord q, boolean served) {
+    List<Engine> erred = q.attempts.stream().filter(a -> a.erred).map(a -> a.engine).distinct().toList();
+    erred.stream().filter(e -> served || erred.size() == 1).forEach(e -> noteTrouble(now, e, ERRORS_BAD));
+  }
+
+  /** The engine rests where its share of errors passes the given one. */
+  private void noteTrouble(long now, Engine e, double bad) {
     e.errors += ERROR_WEIGHT * (1 - e.errors);
-    if (rests && now >= e.restUntil) {
+    if (e.errors > bad && now >= e.restUntil) {
       e.restUntil = now + (REST << Math.min(e.troubles, REST_DOUBLINGS));
       e.troubles++;
     }
@@ -691,7 +688,8 @@
       boolean own = !q.asked.isEmpty() || !q.kind.kinds().isEmpty() || !q.kind.zones().isEmpty();
       double left = estimate(q, ratio) + (itsTurn ? 0 : keyWait(q, ratio));
       boolean late = now + (long) (left * SECOND) + 2 * TICK > q.deadline; // the next look may come after it
-      if (!late && (asking(now, q) || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
+      boolean asking = now < q.askedUntil && q.asked.stream().anyMatch(e -> e.probing);
+      if (!late && (asking || itsTurn && now < q.heldUntil && !q.asked.isEmpty() && ask(now, q))) {
         continue;
       }
       Engine e = !late && itsTurn && (!blocked || own) ? pick(now, q) : null;
@@ -719,6 +717,7 @@
   private void giveUp(long now, QueryRecord q) {
     held.remove(q.number);
     q.over = true;
+    noteErrors(now, q, false);
     boolean harmless = q.firstRunAt < 0 && q.out == 0 || q.kind.effect() == Effect.SAFE
         || q.kind.effect() == Effect.KEYED && q.kind.scope() == Scope.ALL;
     if (harmless) {
@@ -790,7 +789,7 @@
   private void lose(long now, Attempt a, boolean silent) {
     a.engine.remove(a);
     pool.remove(a);
-    noteTrouble(now, a.engine, silent); // one that answers the rest is drawn less, but need not rest
+    noteTrouble(now, a.engine, silent ? 0 : 1); // one that answers the rest is drawn less, but need not rest
     cancel(a);
   }
 
--- a/src/main/java/reachloom/gateway/Engines.java
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -168,7 +168,8 @@
     }
     l.open.remove(a.request.id);
     if (a.reach != Reach.NOT_CONNECTED) {
-      l.suspect |= l.lastHeard < a.sentAt;
+      // Silence is told by time: a request withdrawn at once has seen none.
+      l.suspect |= l.lastHeard < a.sentAt && loop.now() - a.sentAt > transport.dialTimeout();
       write(l, a.reach == Reach.ANSWERING ? NodeWriter.free(a.request.id) : NodeWriter.quit(a.request.id));
     }
     rest(l);
--- a/src/main/java/reachloom/state/Attempt.java
+++ b/src/main/java/reachloom/state/Attempt.java
@@ -15,6 +15,8 @@
   public boolean inLine;
   public boolean ended;
   public boolean abandoned;
+  /** Ended in an error that is nobody's fault yet. */
+  public boolean erred;
 
   /** An attempt just sent. */
   public Attempt(QueryRecord query, int number, Engine engine, long sentAt) {
--- a/src/main/java/reachloom/state/Engine.java
+++ b/src/main/java/reachloom/state/Engine.java
@@ -35,6 +35,8 @@
   public double errors;
   public int troubles;
   public long restUntil;
+  /** When a connection to it was last seen to break. */
+  public long resetAt;
   public long lastSign;
   public long coldUntil;
   public SlidingSum coldWork;
--- a/src/test/java/reachloom/ChoiceTest.java
+++ b/src/test/java/reachloom/ChoiceTest.java
@@ -275,6 +275,62 @@
     assertTrue(drawn < 8, drawn + " of 30 to the engine of quick errors");
   }
 
+  @Test
+  void aQueryThatErrsEverywhereBlackensNoEngine() {
+    Bench b = new Bench().start(up("a"), up("b"), up("c"));
+    for (int i = 0; i < 20; i++) { // bad queries, each an error wherever it is tried
+      b.arrive("bad" + i, QUICK, 0.1);
+      for (int n = 0; n < 5; n++) {
+        String sent = b.actions.get(b.actions.size() - 1);
+        b.end("bad" + i, n, sent.substring(sent.length() - 1), Outcome.ERROR, 0.001, false);
+      }
+      assertEquals("refuse bad" + i + " 1s", b.actions.get(b.actions.size() - 1));
+    }
+    b.take();
+    for (int i = 0; i < 60; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    for (String e : List.of("a", "b", "c")) {
+      long sent = b.actions.stream().filter(l -> l.endsWith(" " + e)).count();
+      assertTrue(sent > 10, e + " " + sent);
+    }
+  }
+
+  @Test
+  void anEngineRestsOnceOthersServeWhatItFailed() {
+    Bench b = new Bench().start(up("a"));
+    List<String> ids = IntStream.range(0, 3).mapToObj(i -> "q" + i).toList();
+    ids.forEach(id -> b.arrive(id, QUICK, 0.1));
+    b.list(up("a"), up("b"));
+    ids.forEach(id -> b.end(id, 0, "a", Outcome.ERROR, 0.001, false));
+    for (String id : ids) {
+      assertTrue(b.actions.contains("send " + id + " b"), "sent on to the other engine");
+      b.end(id, 1, "b", Outcome.SERVED, 0.1, true);
+    }
+    b.take();
+    for (int i = 10; i < 40; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    assertEquals(0, b.actions.stream().filter(l -> l.endsWith(" a")).count(), b.actions.toString());
+  }
+
+  @Test
+  void theResetsOfOneConnectionCountOnce() {
+    Bench b = new Bench().start(up("a"));
+    for (int i = 0; i < 10; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    b.list(up("a"), up("b"));
+    b.take();
+    for (int i = 0; i < 10; i++) {
+      b.end("q" + i, 0, "a", Outcome.RESET, 0.1, false);
+    }
+    for (int i = 10; i < 60; i++) {
+      b.arrive("q" + i, QUICK, 0.1);
+    }
+    assertTrue(b.actions.stream().anyMatch(l -> l.endsWith(" a")), "it does not rest");
+  }
+
   @Test
   void movesAnAttemptThatItsEngineLost() {
     Bench b = new Bench();
