What can't be read ends its connection, extra copies are skipped, silent clients are closed

At fault: Engines.firstPage and furtherPage, which took a second copy for a spoilt result (an error, so the query ran again and the engine looked bad) and went on using a connection after a spoilt one; a missing count of pages read as one, so that a result cut short could have passed as whole.

Now copies are skipped; what can't be read, pages that are not whole rows of three columns and answers that stop half-way for 1 s end the connection with all that is open on it. Clients silent for 2 s, or within a message, are closed; with the table full the one longest idle gives way. Log lines are bounded by class and second.

--- a/src/main/java/reachloom/gateway/Engines.java
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -29,6 +29,7 @@
 import reachloom.gateway.wire.NodeDecoder;
 import reachloom.gateway.wire.NodeWriter;
 import reachloom.gateway.wire.Numbers;
+import reachloom.gateway.wire.Rows;
 import reachloom.gateway.wire.Sockets;
 
 /** Connections to engines, and the attempts and probes on them. Connections belong to engines by name. */
@@ -43,6 +44,8 @@
   /** Bytes of results that are not whole yet, of all attempts together. */
   private static final long MOST_GATHERED = 8L << 20;
   private static final int MOST_LINKS = 8; // for each engine
+  /** An answer that has stopped for so long will not go on: an engine may pause, but hardly within one. */
+  private static final long MOST_PARTIAL = 1_000 * MILLISECOND;
 
   /** Hears what becomes of attempts and probes; on the loop's thread. */
   interface Watcher {
@@ -297,7 +300,10 @@
       }
     }
     if (l.session != null) {
-      l.session.closeOnFlush(); // commands that give requests up go out first
+      IoSession session = l.session;
+      session.closeOnFlush(); // commands that give requests up go out first
+      // ... and where nobody reads them, not at all
+      loop.deadlines().add(loop.now() + transport.dialTimeout(), session::closeNow);
     }
     List<Attempt> open = List.copyOf(l.open.values());
     List<String> tags = List.copyOf(l.probes.keySet());
@@ -319,6 +325,12 @@
     }
   }
 
+  /** Ends connections on which an answer has stopped half-way: nothing more can be read there. */
+  void sweep() {
+    long latest = loop.now() - MOST_PARTIAL;
+    table.all().stream().filter(l -> l.begunAt < latest).forEach(l -> spoilt(l, "an answer that stopped"));
+  }
+
   // ---- What engines say ----
 
   private final class Heard implements Listener<NodeAnswer> {
@@ -339,6 +351,17 @@
       });
     }
 
+    @Override
+    public void begun(IoSession session) {
+      long handle = (Long) session.getAttribute(LINK);
+      loop.post(0, () -> {
+        Link l = table.get(handle);
+        if (l != null) {
+          l.begunAt = loop.now();
+        }
+      });
+    }
+
     @Override
     public void closed(IoSession session) {
       long handle = (Long) session.getAttribute(LINK);
@@ -354,11 +377,12 @@
   private void heard(Link l, NodeAnswer answer) {
     l.lastHeard = loop.now();
     l.suspect = false;
+    l.begunAt = Long.MAX_VALUE;
     Report report = report(answer.fields().get("use"));
     if (l.probes.containsKey(answer.id())) {
       switch (answer.word()) {
         case UP, DOWN -> probed(l, answer.id(), answer.word() == NodeAnswer.Word.UP, report);
-        default -> LOG.log(Level.WARNING, "engine {0} answers a probe with {1}", l.engine, answer.word());
+        default -> spoilt(l, answer.word() + " to a probe");
       }
       return;
     }
@@ -377,14 +401,17 @@
       case ERR -> end(a, Outcome.ERROR);
       case VOID -> end(a, Outcome.NOT_SENT); // over before it came: it never ran, and no engine is at fault
       case NOTE -> note(a, answer);
-      default -> LOG.log(Level.WARNING, "engine {0} answers a request with {1}", l.engine, answer.word());
+      default -> spoilt(l, answer.word() + " to a request");
     }
   }
 
   private void firstPage(Link l, Attempt a, NodeAnswer answer) {
-    long count = Numbers.whole(answer.fields().getOrDefault("fetches", "1"), -1);
-    if (!a.pages.isEmpty() || count < 1 || count > MOST_PAGES) {
-      unreadable(l, a, "a result of " + answer.fields().get("fetches") + " pages, or a second one");
+    if (!a.pages.isEmpty()) {
+      return; // a second copy
+    }
+    long count = Numbers.whole(answer.fields().get("fetches"), -1);
+    if (count < 1 || count > MOST_PAGES) {
+      spoilt(l, "a result of " + answer.fields().get("fetches") + " pages");
       return;
     }
     a.reach = Reach.ANSWERING;
@@ -395,8 +422,12 @@
   }
 
   private void furtherPage(Link l, Attempt a, NodeAnswer answer) {
-    if (a.pages.isEmpty() || Numbers.whole(answer.fields().get("fetch_no"), -1) != a.pages.size()) {
-      unreadable(l, a, "page " + answer.fields().get("fetch_no") + " out of turn");
+    long number = Numbers.whole(answer.fields().get("fetch_no"), -1);
+    if (number > 0 && number < a.pages.size()) {
+      return; // a second copy
+    }
+    if (a.pages.isEmpty() || number != a.pages.size()) {
+      spoilt(l, "page " + answer.fields().get("fetch_no") + " out of turn");
       return;
     }
     page(l, a, answer.body());
@@ -406,8 +437,13 @@
     a.pages.add(body);
     a.size += body.length;
     gathered += body.length;
-    if (a.size > MOST_RESULT || gathered > MOST_GATHERED) {
-      unreadable(l, a, "a result beyond its bounds, " + a.size + " bytes so far, " + gathered + " in all");
+    if (a.size > MOST_RESULT || !Rows.whole(body)) {
+      spoilt(l, "a page that is not whole rows, or " + a.size + " bytes of a result");
+    } else if (gathered > MOST_GATHERED) {
+      LOG.log(Level.WARNING, "{0} bytes of results wait for their rest: one of {1} is dropped", gathered,
+          l.engine);
+      write(l, NodeWriter.free(a.request.id));
+      end(a, Outcome.ERROR);
     } else if (a.pages.size() < a.pageCount) {
       write(l, NodeWriter.next(a.request.id, a.pages.size()));
     } else {
@@ -418,11 +454,13 @@
     }
   }
 
-  /** A result that can't be passed on: it has run, and is an error here. */
-  private void unreadable(Link l, Attempt a, String what) {
-    LOG.log(Level.WARNING, "engine {0} sent {1}", l.engine, what);
-    write(l, NodeWriter.free(a.request.id));
-    end(a, Outcome.ERROR);
+  /**
+   * What can't be read: nothing that follows on the connection can be trusted, so that all that is open on it
+   * ends with it, now instead of at its time-out. Harms where an engine is only odd: its other work is lost.
+   */
+  private void spoilt(Link l, String what) {
+    LOG.log(Level.WARNING, "engine {0} sent {1}; its connection is closed", l.engine, what);
+    close(l, false);
   }
 
   private void note(Attempt a, NodeAnswer answer) {
--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -3,9 +3,11 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -64,6 +66,11 @@
   private static final int BACKSTOP_PART = 4;
   /** What an engine is sent has come there by then, unless the network stands. */
   private static final long FAREWELL = 5 * MILLISECOND;
+  /** Clients that stay silent, or stop within a message, are closed after so long: they hold descriptors. */
+  private static final long MOST_SILENCE = 2_000 * MILLISECOND;
+  /** Clients close idle connections after 4 s by themselves; one that is idle for longer only holds on. */
+  private static final long MOST_IDLE = 10_000 * MILLISECOND;
+  private static final long SWEEP = 200 * MILLISECOND;
   private static final long LONGEST_LIMIT_MS = 24 * 60 * 60 * 1000;
   private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
   private static final Pattern KEY = Pattern.compile("[0-9A-Za-z_-]{1,64}");
@@ -106,6 +113,7 @@
     tell(() -> module.start(loop.now(), config.seed(), config.settings()));
     tell(() -> module.engines(loop.now(), true, config.known().stream().map(Member::info).toList()));
     changeLog.connect();
+    sweep();
   }
 
   /** Listens for clients. */
@@ -182,6 +190,11 @@
     private final FrameDecoder frames = new FrameDecoder(1, MOST_FRAME);
     private String fault;
 
+    @Override
+    public boolean partial() {
+      return frames.partial();
+    }
+
     @Override
     public String feed(byte[] bytes, int from, int to,
         java.util.function.Consumer<? super ClientCall> messages) {
@@ -201,8 +214,11 @@
     @Override
     public void opened(IoSession session) {
       loop.post(0, () -> {
-        Client c = new Client(session);
+        Client c = new Client(session, loop.now());
         c.handle = clients.add(c);
+        if (c.handle == Slots.NONE && makeRoom()) {
+          c.handle = clients.add(c);
+        }
         if (c.handle == Slots.NONE) {
           session.closeNow();
           return;
@@ -217,11 +233,24 @@
       loop.post(bytes, () -> {
         Client c = client(session);
         if (c != null) {
+          c.spoken = true;
+          c.activeAt = at;
+          c.begunAt = Long.MAX_VALUE;
           called(c, call, at);
         }
       });
     }
 
+    @Override
+    public void begun(IoSession session) {
+      loop.post(0, () -> {
+        Client c = client(session);
+        if (c != null) {
+          c.begunAt = loop.now();
+        }
+      });
+    }
+
     @Override
     public void closed(IoSession session) {
       loop.post(0, () -> {
@@ -234,6 +263,35 @@
     }
   }
 
+  /** Closes the clients that never say anything whole, stop within a message, or only hold on. */
+  private void sweep() {
+    long now = loop.now();
+    for (Client c : clients.all()) {
+      boolean silent = now - c.activeAt > (c.spoken ? MOST_IDLE : MOST_SILENCE) && c.open.isEmpty();
+      if (silent || c.begunAt < now - MOST_SILENCE) {
+        hangUp(c);
+      }
+    }
+    engines.sweep();
+    loop.deadlines().add(now + SWEEP, this::sweep);
+  }
+
+  /** With the table full, the one longest silent with nothing open gives way, the speechless first. */
+  private boolean makeRoom() {
+    Optional<Client> idle = clients.all().stream().filter(c -> c.open.isEmpty())
+        .min(Comparator.comparing((Client c) -> c.spoken).thenComparingLong(c -> c.activeAt));
+    idle.ifPresent(this::hangUp);
+    return idle.isPresent();
+  }
+
+  private void hangUp(Client c) {
+    LOG.log(Level.DEBUG, "client {0} is closed: silent, or in the way", c.session.getRemoteAddress());
+    clients.remove(c.handle);
+    c.session.closeOnFlush();
+    loop.deadlines().add(loop.now() + SWEEP, c.session::closeNow); // where nobody reads what waits
+    List.copyOf(c.open.values()).forEach(this::left);
+  }
+
   private Client client(IoSession session) {
     Long handle = (Long) session.getAttribute(CLIENT);
     return handle == null ? null : clients.get(handle);
@@ -346,6 +404,7 @@
   }
 
   private void write(Client c, ByteBuffer bytes) {
+    c.activeAt = loop.now();
     int size = bytes.remaining();
     boolean full = unsent.get() + size > MOST_UNSENT;
     if (full && c.session.getScheduledWriteBytes() > MOST_UNSENT / clients.size()) {
--- a/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
+++ b/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
@@ -12,11 +12,17 @@
  */
 public final class LineLogger extends System.LoggerFinder {
   private static final PrintStream ERR = System.err;
+  private static final long SPAN_MS = 1_000;
+  /** Lines of one class in a span: a flood of faults must not flood the log, nor cost its CPU. */
+  private static final int MOST_LINES = 10;
 
   @Override
   public System.Logger getLogger(String name, Module module) {
     String shortName = name.substring(name.lastIndexOf('.') + 1);
     return new System.Logger() {
+      private long spanFrom;
+      private int lines;
+
       @Override
       public String getName() {
         return name;
@@ -29,19 +35,34 @@
 
       @Override
       public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
-        write(level, message, thrown);
+        if (isLoggable(level) && room()) {
+          write(level, message, thrown);
+        }
       }
 
       @Override
       public void log(Level level, ResourceBundle bundle, String format, Object... values) {
+        if (!isLoggable(level) || !room()) {
+          return;
+        }
         write(level, values == null || values.length == 0 ? format : MessageFormat.format(format, values),
             null);
       }
 
-      private void write(Level level, String message, Throwable thrown) {
-        if (!isLoggable(level)) {
-          return;
+      private synchronized boolean room() {
+        long now = System.currentTimeMillis();
+        if (now - spanFrom >= SPAN_MS || now < spanFrom) {
+          int left = lines - MOST_LINES;
+          spanFrom = now;
+          lines = 0;
+          if (left > 0) {
+            write(Level.WARNING, left + " more lines were left out", null);
+          }
         }
+        return ++lines <= MOST_LINES;
+      }
+
+      private void write(Level level, String message, Throwable thrown) {
         StringBuilder line = new StringBuilder().append(Instant.now().truncatedTo(ChronoUnit.MILLIS))
             .append(' ').append(level.getName()).append(' ').append(shortName).append(": ")
             .append(message.replaceAll("[\\r\\n]", " "));
--- a/src/main/java/reachloom/gateway/tables/Client.java
+++ b/src/main/java/reachloom/gateway/tables/Client.java
@@ -8,11 +8,18 @@
 public final class Client {
   public final IoSession session;
   public long handle;
+  /** When it came up, or when the last whole message came from it or went to it. */
+  public long activeAt;
+  /** Whether it has sent a whole message. */
+  public boolean spoken;
+  /** When a message began that is not whole yet, or {@link Long#MAX_VALUE}. */
+  public long begunAt = Long.MAX_VALUE;
   /** The open requests by their numbers. */
   public final Map<Integer, Request> open = new HashMap<>();
 
   /** A connection just accepted. */
-  public Client(IoSession session) {
+  public Client(IoSession session, long now) {
     this.session = session;
+    activeAt = now;
   }
 }
--- a/src/main/java/reachloom/gateway/tables/Link.java
+++ b/src/main/java/reachloom/gateway/tables/Link.java
@@ -19,6 +19,8 @@
   /** Probes that are out on it, by tag, with the deadline of each. */
   public final Map<String, Deadline> probes = new LinkedHashMap<>();
   public long lastHeard;
+  /** When an answer began that is not whole yet, or {@link Long#MAX_VALUE}. */
+  public long begunAt = Long.MAX_VALUE;
   /** Silent while attempts on it ran out of time: not used for new work without need. */
   public boolean suspect;
   public Deadline dial;
--- a/src/main/java/reachloom/gateway/wire/ChangeLogDecoder.java
+++ b/src/main/java/reachloom/gateway/wire/ChangeLogDecoder.java
@@ -40,6 +40,11 @@
     return ByteBuffer.allocate(Long.BYTES).putLong(last).flip();
   }
 
+  @Override
+  public boolean partial() {
+    return frames.partial();
+  }
+
   @Override
   public String feed(byte[] bytes, int from, int to, Consumer<? super Change> messages) {
     String broken = frames.feed(bytes, from, to, f -> {
--- a/src/main/java/reachloom/gateway/wire/Decoder.java
+++ b/src/main/java/reachloom/gateway/wire/Decoder.java
@@ -10,4 +10,7 @@
 public interface Decoder<M> {
   /** Takes the next bytes and passes on what is whole; gives null, or what makes the stream unusable. */
   String feed(byte[] bytes, int from, int to, Consumer<? super M> messages);
+
+  /** Whether a message has begun that is not whole yet. */
+  boolean partial();
 }
--- a/src/main/java/reachloom/gateway/wire/DecodingHandler.java
+++ b/src/main/java/reachloom/gateway/wire/DecodingHandler.java
@@ -45,6 +45,7 @@
     IoBuffer buffer = (IoBuffer) message;
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
+    boolean before = decoder.partial();
     int[] share = {bytes.length}; // of memory: a message takes about the bytes it came in
     String fault = decoder.feed(bytes, 0, bytes.length, m -> {
       listener.received(session, m, share[0]);
@@ -55,6 +56,8 @@
           fault);
       session.removeAttribute(DECODER);
       session.closeNow();
+    } else if (decoder.partial() && (!before || share[0] == 0)) {
+      listener.begun(session);
     }
   }
 
--- a/src/main/java/reachloom/gateway/wire/FrameDecoder.java
+++ b/src/main/java/reachloom/gateway/wire/FrameDecoder.java
@@ -21,6 +21,11 @@
     this.most = most;
   }
 
+  @Override
+  public boolean partial() {
+    return lengthBytes > 0;
+  }
+
   @Override
   public String feed(byte[] bytes, int from, int to, Consumer<? super byte[]> messages) {
     int at = from;
--- a/src/main/java/reachloom/gateway/wire/Listener.java
+++ b/src/main/java/reachloom/gateway/wire/Listener.java
@@ -14,6 +14,10 @@
   /** A message has come; {@code bytes} is about what it takes in memory. */
   void received(IoSession session, M message, int bytes);
 
+  /** A message has begun that is not whole yet; the next one received ends it. */
+  default void begun(IoSession session) {
+  }
+
   /** A connection has ended, by whichever side. */
   void closed(IoSession session);
 }
--- a/src/main/java/reachloom/gateway/wire/NodeDecoder.java
+++ b/src/main/java/reachloom/gateway/wire/NodeDecoder.java
@@ -9,7 +9,7 @@
 /** Answers of engines: a line {@code ID WORD FIELDS LENGTH}, so many bytes, and the end of a line. */
 public final class NodeDecoder implements Decoder<NodeAnswer> {
   private static final int MOST_LINE = 4096;
-  private static final int MOST_BODY = 64 * 1024;
+  private static final int MOST_BODY = 6_000; // a page, as the protocol says
   private static final int FIRST_LINE = 128;
   private static final int WORDS = 4;
   private static final byte[] NOTHING = new byte[0];
@@ -22,6 +22,11 @@
   private NodeAnswer answer;
   private int have;
 
+  @Override
+  public boolean partial() {
+    return state != State.LINE || lineLength > 0;
+  }
+
   @Override
   public String feed(byte[] bytes, int from, int to, Consumer<? super NodeAnswer> messages) {
     int at = from;
--- /dev/null
+++ b/src/main/java/reachloom/gateway/wire/Rows.java
@@ -0,0 +1,40 @@
+package reachloom.gateway.wire;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+
+/** Rows of a result as engines write them: three columns of text, a tab between, a line feed at the end. */
+public final class Rows {
+  private static final int TABS = 2;
+
+  private Rows() {
+  }
+
+  /** Whether a page holds whole rows of readable text and nothing else; none at all count as whole. */
+  public static boolean whole(byte[] page) {
+    int tabs = 0;
+    for (byte b : page) {
+      if (b == '\n' && tabs != TABS || b != '\n' && b != '\t' && b >= 0 && b < ' ') {
+        return false;
+      }
+      tabs = b == '\n' ? 0 : b == '\t' ? tabs + 1 : tabs;
+    }
+    boolean ends = page.length == 0 || page[page.length - 1] == '\n';
+    return ends && readable(page);
+  }
+
+  private static boolean readable(byte[] page) {
+    for (byte b : page) {
+      if (b < 0) { // most pages are plain: only others are looked at again
+        try {
+          StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(page));
+          return true;
+        } catch (CharacterCodingException e) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/test/java/reachloom/gateway/wire/RowsTest.java
@@ -0,0 +1,40 @@
+package reachloom.gateway.wire;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Pages: whole rows of three columns, and all that is none. */
+class RowsTest {
+  private static boolean whole(String page) {
+    return Rows.whole(page.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void wholeRowsAreTakenAlsoEmptyOnes() {
+    assertTrue(whole(""));
+    assertTrue(whole("a\tb\tc\n"));
+    assertTrue(whole("\t\t\nselat\tö, ü\t数\n"));
+  }
+
+  @Test
+  void pagesCutShortOrOfOtherColumnsAreNot() {
+    String page = "one\ttwo\tthree\nfour\tfive\tsix\n";
+    for (int length = 1; length < page.length(); length++) {
+      String part = page.substring(0, length);
+      assertTrue(whole(part) == part.endsWith("three\n"), part);
+    }
+    for (String bad : new String[] {"\n", "a\tb\n", "a\tb\tc\td\n", "a\tb\tc", "a\tb\u0001\tc\n"}) {
+      assertFalse(whole(bad), bad);
+    }
+  }
+
+  @Test
+  void noiseIsNoText() {
+    byte[] page = "a\tb\tc\n".getBytes(StandardCharsets.UTF_8);
+    page[2] = (byte) 0xfe;
+    assertFalse(Rows.whole(page));
+  }
+}
