--- a/src/main/java/reachloom/Main.java
+++ b/src/main/java/reachloom/Main.java
@@ -27,6 +27,7 @@
       "  serve               one gateway on sockets, configured by the file that LB_CONFIG names",
       "  benchlink           decide for many gateways on the simulator's wire (standard input and output)",
       "  check-config FILE   read a configuration file and say what is wrong with it",
+      "  rehearse            start with a made-up configuration on loopback, then stop (see deploy)",
       "  version             print the version",
       "",
       "options:");
@@ -68,6 +69,9 @@
           Map<String, String> environment = System.getenv();
           return new Server(GatewayConfig.fromEnvironment(environment), environment).run();
         }
+        case "rehearse" -> {
+          return new Server(GatewayConfig.sample(), Map.of()).rehearse();
+        }
         case "benchlink" -> {
           return new BenchLink(err).serve(System.in, out);
         }
--- a/src/main/java/reachloom/config/GatewayConfig.java
+++ b/src/main/java/reachloom/config/GatewayConfig.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -91,6 +93,17 @@
     }
   }
 
+  /** A made-up configuration that listens at a free loopback address, to rehearse with. */
+  public static GatewayConfig sample() throws ConfigException {
+    try (InputStream text = GatewayConfig.class.getResourceAsStream("sample.json");
+        ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      String listen = free.getInetAddress().getHostAddress() + ":" + free.getLocalPort();
+      return parse(new ObjectMapper().readTree(text), Map.of("LB_LISTEN", listen));
+    } catch (IOException e) {
+      throw new ConfigException("the sample: " + e.getMessage());
+    }
+  }
+
   static GatewayConfig parse(JsonNode root, Map<String, String> environment) throws ConfigException {
     object(root, "the configuration");
     JsonNode settings = object(root.path("settings"), "settings");
--- a/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -31,6 +31,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Gateway gateway;
   private boolean stopping;
+  private boolean endWhenReady;
 
   /** A server that has not started; the environment names the file that SIGHUP reads again. */
   public Server(GatewayConfig config, Map<String, String> environment) {
@@ -63,8 +64,16 @@
     return 0;
   }
 
+  /** Starts, and stops again once ready: for a virtual machine that keeps the classes which that took. */
+  public int rehearse() throws InterruptedException {
+    endWhenReady = true;
+    return run();
+  }
+
   private void ready() {
-    if (!stopping) {
+    if (endWhenReady) {
+      stop();
+    } else if (!stopping) {
       gateway.good(true);
       LOG.log(Level.INFO, "{0} serves at {1} with {2} engines known", config.name(), config.listen(),
           config.known().size());
