--- a/src/test/java/reachloom/MainTest.java
+++ b/src/test/java/reachloom/MainTest.java
@@ -48,11 +48,6 @@
     assertEquals(2, run("check-config"));
   }
 
-  @Test
-  void rehearsingStartsServesItselfAndEndsWell() throws Exception {
-    assertEquals(0, run("rehearse"));
-  }
-
   @Test
   void checkConfigNamesWhatIsWrong(@TempDir Path folder) throws Exception {
     Path file = Files.writeString(folder.resolve("c.json"), "{\"settings\":{\"classes\":[]}}");
--- a/src/test/java/reachloom/gateway/ServeTest.java
+++ b/src/test/java/reachloom/gateway/ServeTest.java
@@ -355,6 +355,15 @@
     assertTrue(gateway.alive());
   }
 
+  @Test
+  void rehearsingStartsAndEndsWellByItself() throws Exception {
+    Path log = folder.resolve("rehearsal.log");
+    Process rehearsal = GatewayProcess.start(folder.resolve("none.json"), log, "rehearse");
+    assertTrue(rehearsal.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(0, rehearsal.exitValue());
+    assertTrue(Files.readString(log).contains("sample has stopped"));
+  }
+
   @Test
   void aBadConfigurationEndsTheStartNamingTheKey() throws Exception {
     Path config = folder.resolve("bad.json");
