--- a/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -24,9 +24,8 @@
   private static final long ANSWERING = 400 * MILLISECOND;
   private static final long CHECK = 10 * MILLISECOND;
   /**
-   * Connections stay open for so long after the last answer. A client that asks again at once on one already
-   * closed draws a reset, and a reset takes answers with it that it has not read yet. Each restart is longer by
-   * that much.
+   * Connections stay open for so long after the last answer: a client that asks again at once on one already
+   * closed draws a reset, which takes the answers with it that it has not read yet. It makes restarts longer.
    */
   private static final long LINGER = 120 * MILLISECOND;
   private static final long FLUSH = 50 * MILLISECOND;
