--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -3,11 +3,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -26,6 +24,7 @@
 import reachloom.config.Member;
 import reachloom.gateway.tables.Attempt;
 import reachloom.gateway.tables.Client;
+import reachloom.gateway.tables.Clients;
 import reachloom.gateway.tables.Reach;
 import reachloom.gateway.tables.Request;
 import reachloom.gateway.tables.Slots;
@@ -85,7 +84,7 @@
   private final Sockets sockets;
   private final Engines engines;
   private final ChangeLog changeLog;
-  private final Slots<Client> clients;
+  private final Clients clients;
   private final Slots<Request> requests;
   private final Map<String, Request> byId = new HashMap<>();
   private long heldBytes;
@@ -101,7 +100,7 @@
     module = factory.apply(this);
     int third = config.sockets() / 3;
     sockets = new Sockets(third + third / ARRIVING_PART);
-    clients = new Slots<>(third);
+    clients = new Clients(third);
     requests = new Slots<>(config.transport().maxOpen());
     engines = new Engines(loop, sockets, this, config.transport(),
         config.settings().traits().reports(), third);
@@ -219,11 +218,7 @@
     public void opened(IoSession session) {
       loop.post(0, () -> {
         Client c = new Client(session, loop.now());
-        c.handle = clients.add(c);
-        if (c.handle == Slots.NONE && makeRoom()) {
-          c.handle = clients.add(c);
-        }
-        if (c.handle == Slots.NONE) {
+        if (!admit(c)) {
           session.closeNow();
           return;
         }
@@ -237,9 +232,7 @@
       loop.post(bytes, () -> {
         Client c = client(session);
         if (c != null) {
-          c.spoken = true;
-          c.activeAt = at;
-          c.begunAt = Long.MAX_VALUE;
+          clients.heard(c, at);
           called(c, call, at);
         }
       });
@@ -250,7 +243,7 @@
       loop.post(0, () -> {
         Client c = client(session);
         if (c != null) {
-          c.begunAt = loop.now();
+          clients.begun(c, loop.now());
         }
       });
     }
@@ -260,7 +253,7 @@
       loop.post(0, () -> {
         Client c = client(session);
         if (c != null) {
-          clients.remove(c.handle);
+          clients.remove(c);
           List.copyOf(c.open.values()).forEach(Gateway.this::left);
         }
       });
@@ -270,36 +263,35 @@
   /** Closes the clients that never say anything whole, stop within a message, or only hold on. */
   private void sweep() {
     long now = loop.now();
-    for (Client c : clients.all()) {
-      if (c.begunAt < now - MOST_SILENCE) {
-        hangUp(c, "stopped within a message");
-      } else if (c.open.isEmpty() && now - c.activeAt > (c.spoken ? MOST_IDLE : MOST_SILENCE)) {
-        hangUp(c, c.spoken ? "holds on with nothing open" : "never said anything");
-      }
+    for (Client c = overdue(now); c != null; c = overdue(now)) {
+      hangUp(c);
     }
     engines.sweep();
     loop.deadlines().add(now + SWEEP, this::sweep);
   }
 
-  /**
-   * With the table full, one with nothing open gives way, of each sort the longest silent: first those that
-   * should have spoken by now, then those that have; last those whose first words may still be on their way,
-   * since a request that comes to a closed connection is lost to its client.
-   */
-  private boolean makeRoom() {
-    long latest = loop.now() - FIRST_WORDS;
-    Comparator<Client> sorts = Comparator.comparingInt(c -> c.spoken ? 1 : c.activeAt < latest ? 0 : 2);
-    Optional<Client> idle = clients.all().stream().filter(c -> c.open.isEmpty())
-        .min(sorts.thenComparingLong(c -> c.activeAt));
-    idle.ifPresent(c -> hangUp(c, c.spoken ? "gives way" : "gives way, never said anything"));
-    return idle.isPresent();
-  }
-
-  private void hangUp(Client c, String why) {
-    LOG.log(Level.DEBUG, "client {0} is closed: it {1}", c.session.getRemoteAddress(), why);
-    clients.remove(c.handle);
-    c.session.closeOnFlush();
-    loop.deadlines().add(loop.now() + SWEEP, c.session::closeNow); // where nobody reads what waits
+  private Client overdue(long now) {
+    return clients.overdue(now - MOST_SILENCE, now - MOST_IDLE);
+  }
+
+  /** Takes a client in, with the table full in the place of another one; false where all have work open. */
+  private boolean admit(Client c) {
+    Client other = clients.add(c) ? null : clients.inTheWay(loop.now() - FIRST_WORDS);
+    if (other != null) {
+      hangUp(other);
+      return clients.add(c);
+    }
+    return c.handle != Slots.NONE;
+  }
+
+  private void hangUp(Client c) {
+    clients.remove(c);
+    if (c.session.getScheduledWriteMessages() == 0) {
+      c.session.closeNow();
+    } else {
+      c.session.closeOnFlush();
+      loop.deadlines().add(loop.now() + SWEEP, c.session::closeNow); // where nobody reads what waits
+    }
     List.copyOf(c.open.values()).forEach(this::left);
   }
 
@@ -347,12 +339,15 @@
     boolean room = c.open.size() < MOST_OPEN && heldBytes + statement.array().length <= MOST_HELD;
     r.handle = room ? requests.add(r) : Slots.NONE;
     if (r.handle == Slots.NONE) {
+      LOG.log(Level.WARNING, "no room for a request: {0} open, {1} on its connection, {2} bytes held",
+          requests.size(), c.open.size(), heldBytes);
       write(c, ThriftWriter.busy(call.seq())); // it was never sent
       return;
     }
     heldBytes += statement.array().length;
     byId.put(id, r);
     c.open.put(r.seq, r);
+    clients.touch(c, at);
     r.backstop = loop.deadlines().add(deadline - ahead(r) / BACKSTOP_PART, () -> giveUp(r, "its time is up"));
     long now = loop.now();
     Query query = new Query(id, queryClass, tenant, null, Math.max(0, deadline - now), 0, 0,
@@ -402,6 +397,7 @@
     Client c = clients.get(r.client);
     if (c != null) {
       c.open.remove(r.seq, r);
+      clients.touch(c, loop.now());
     }
   }
 
@@ -415,7 +411,7 @@
   }
 
   private void write(Client c, ByteBuffer bytes) {
-    c.activeAt = loop.now();
+    clients.touch(c, loop.now());
     int size = bytes.remaining();
     boolean full = unsent.get() + size > MOST_UNSENT;
     if (full && c.session.getScheduledWriteBytes() > MOST_UNSENT / clients.size()) {
--- a/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
+++ b/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
@@ -42,7 +42,7 @@
 final class Rehearsal implements Actions {
   private static final Logger LOG = System.getLogger(Rehearsal.class.getName());
   private static final long MILLISECOND = 1_000_000; // nanoseconds
-  private static final long LONGEST = 400 * MILLISECOND; // on the machine's clock; a restart waits for it
+  private static final long LONGEST = 800 * MILLISECOND; // on the machine's clock; a restart waits for it
   private static final long STEP = MILLISECOND / 4; // between queries, in the time that is played
   private static final int OUT_AT_ONCE = 64;
   private static final int NOTE_EACH = 8; // attempts of which one tells a note
--- a/src/main/java/reachloom/gateway/tables/Client.java
+++ b/src/main/java/reachloom/gateway/tables/Client.java
@@ -10,10 +10,8 @@
   public long handle;
   /** When it came up, or when the last whole message came from it or went to it. */
   public long activeAt;
-  /** Whether it has sent a whole message. */
-  public boolean spoken;
-  /** When a message began that is not whole yet, or {@link Long#MAX_VALUE}. */
-  public long begunAt = Long.MAX_VALUE;
+  /** When a message began that was not whole at once. */
+  public long begunAt;
   /** The open requests by their numbers. */
   public final Map<Integer, Request> open = new HashMap<>();
 
--- a/src/test/java/reachloom/gateway/tables/TablesTest.java
+++ b/src/test/java/reachloom/gateway/tables/TablesTest.java
@@ -1,8 +1,11 @@
 package reachloom.gateway.tables;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +14,39 @@
 
 /** Slots with generations, deadlines in one order, and what a broken attempt proves. */
 class TablesTest {
+  @Test
+  void theSilentThenTheIdleThenTheNewGiveWay() {
+    Clients clients = new Clients(3);
+    Client silent = new Client(null, 10);
+    Client idle = new Client(null, 20);
+    Client fresh = new Client(null, 90);
+    for (Client c : new Client[] {silent, idle, fresh}) {
+      assertTrue(clients.add(c));
+    }
+    assertFalse(clients.add(new Client(null, 95)), "full");
+    clients.heard(idle, 30);
+    assertSame(silent, clients.inTheWay(50));
+    clients.remove(silent);
+    assertSame(idle, clients.inTheWay(50), "before the one whose first words may be on their way");
+    idle.open.put(1, null);
+    clients.touch(idle, 40);
+    assertSame(fresh, clients.inTheWay(50), "one with a request open never does");
+    clients.heard(fresh, 100);
+    idle.open.clear();
+    clients.touch(idle, 110);
+    assertSame(fresh, clients.inTheWay(150), "the one idle for longest");
+    assertNull(clients.overdue(200, 100));
+    assertSame(fresh, clients.overdue(200, 101));
+    clients.begun(idle, 120);
+    assertSame(idle, clients.overdue(121, 0));
+    clients.heard(idle, 130);
+    assertNull(clients.overdue(200, 0));
+    clients.remove(idle);
+    clients.remove(fresh);
+    assertNull(clients.inTheWay(1_000));
+    assertEquals(0, clients.size());
+  }
+
   @Test
   void aHandleKeptPastItsEndFindsNothing() {
     Slots<String> slots = new Slots<>(2);
