--- a/src/main/java/reachloom/gateway/Engines.java
+++ b/src/main/java/reachloom/gateway/Engines.java
@@ -106,6 +106,16 @@
     peers.values().removeIf(p -> p.member == null && p.links.isEmpty());
   }
 
+  /** How many engines are remembered. */
+  int known() {
+    return peers.size();
+  }
+
+  /** How many connections there are. */
+  int connections() {
+    return table.size();
+  }
+
   // ---- Attempts ----
 
   /** Brings an attempt to its engine; what becomes of it is told later, never within this call. */
--- a/src/main/java/reachloom/gateway/Gateway.java
+++ b/src/main/java/reachloom/gateway/Gateway.java
@@ -159,6 +159,13 @@
     clients.all().forEach(c -> c.session.closeOnFlush());
   }
 
+  /** What all tables hold, by name; for the loop's own thread. */
+  Map<String, Integer> held() {
+    return Map.of("requests", requests.size(), "ids", byId.size(), "clients", clients.size(), "statements",
+        (int) heldBytes, "engines", engines.known(), "connections", engines.connections(), "deadlines",
+        loop.deadlines().size());
+  }
+
   /** How many connections of clients are open. */
   public int clientCount() {
     return clients.size();
--- a/src/test/java/reachloom/gateway/ChangeLogStandIn.java
+++ b/src/test/java/reachloom/gateway/ChangeLogStandIn.java
@@ -71,6 +71,7 @@
       for (int quiet = 0;; quiet++) {
         if (next < events.size()) {
           s.getOutputStream().write(events.get(next++));
+          continue;
         } else if (quiet % 20 == 0) {
           s.getOutputStream()
               .write(ByteBuffer.allocate(13).putInt(9).putLong(first + next).put((byte) 0).array());
--- /dev/null
+++ b/src/test/java/reachloom/gateway/LongDayTest.java
@@ -0,0 +1,77 @@
+package reachloom.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reachloom.Choice;
+import reachloom.config.GatewayConfig;
+
+/** Engines, connections and ids are new all day: what is kept for them goes with them. */
+class LongDayTest {
+  private static final int ROUNDS = 400;
+
+  @TempDir
+  Path folder;
+
+  private final Loop loop = new Loop();
+  private Choice module;
+
+  private Map<String, Integer> held(Gateway gateway) throws Exception {
+    CompletableFuture<Map<String, Integer>> held = new CompletableFuture<>();
+    loop.post(0, () -> held.complete(gateway.held()));
+    return held.get(10, TimeUnit.SECONDS);
+  }
+
+  private int size(String table) throws Exception {
+    Field field = Choice.class.getDeclaredField(table);
+    field.setAccessible(true);
+    return ((Map<?, ?>) field.get(module)).size();
+  }
+
+  @Test
+  void whatIsKeptGoesWithItsOwner() throws Exception {
+    try (NodeStandIn node = new NodeStandIn(); ChangeLogStandIn changeLog = new ChangeLogStandIn(1)) {
+      Path file = Files.writeString(folder.resolve("config.json"),
+          GatewayProcess.config(GatewayProcess.freeAddress(), changeLog, node));
+      GatewayConfig config = GatewayConfig.fromFile(file, Map.of());
+      Gateway gateway = new Gateway(config, loop, a -> module = new Choice(a));
+      gateway.listen();
+      loop.post(0, gateway::start);
+      NodeStandIn.daemon(loop);
+      int served = 0;
+      for (int i = 1; i <= ROUNDS; i++) { // each engine is followed by another one at its address
+        changeLog.add(i + 1, node, 0);
+        changeLog.add(i, node, 2);
+        try (ThriftClient c = new ThriftClient(config.listen())) {
+          c.execute("select 1 /* hang */"); // left without an answer
+          served += c.run("select 1", "verb", i % 2 == 0 ? "quick" : "keyed", "unique", "k" + i).kind()
+              .equals("ANSWER") ? 1 : 0;
+        }
+      }
+      assertTrue(served > ROUNDS / 2, served + " served");
+      Map<String, Integer> held = held(gateway);
+      for (int i = 0; i < 200 && (held.get("requests") > 0 || held.get("engines") > 1); i++) {
+        Thread.sleep(50);
+        held = held(gateway);
+      }
+      for (String table : new String[] {"requests", "ids", "clients", "statements"}) {
+        assertEquals(0, held.get(table), table);
+      }
+      assertEquals(1, held.get("engines"));
+      assertTrue(held.get("connections") <= 8, held.toString());
+      assertTrue(held.get("deadlines") < 30, held.toString());
+      assertEquals(1, size("engines"), "in the module");
+      assertEquals(0, size("queries"));
+      assertEquals(0, size("held"));
+      loop.post(0, loop::end);
+    }
+  }
+}
