--- a/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/src/test/java/reachloom/gateway/FrontsTest.java
@@ -38,6 +38,9 @@
   @TempDir
   Path folder;
 
+  /** The table group of queries that the module fails on. */
+  private static final int BROKEN = 666;
+
   private NodeStandIn node;
   private ChangeLogStandIn changeLog;
   private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
@@ -71,6 +74,9 @@
     @Override
     public void arrive(long now, Query query) {
       told.add(query);
+      if (query.group() == BROKEN) {
+        throw new IllegalStateException("as scripted");
+      }
     }
 
     @Override
@@ -122,6 +128,24 @@
     next(List.class);
   }
 
+  @Test
+  void aModuleThatFailsOnAnEventCostsThatQueryOnly() throws Exception {
+    try (ThriftClient c = new ThriftClient(config.listen())) {
+      int broken = c.execute("select 1 from sales_666.a", "limit", "600");
+      Query first = next(Query.class);
+      int other = c.execute("select 1 from sales_1.a");
+      Query second = next(Query.class);
+      loop.post(0, () -> actions.refuse(second.id(), 0));
+      ThriftClient.Reply reply = c.reply();
+      assertEquals(other, reply.seq());
+      assertEquals("BUSY", reply.kind());
+      reply = c.reply();
+      assertEquals(broken, reply.seq());
+      assertEquals("BUSY", reply.kind(), "nothing was sent for it");
+      assertEquals("leave " + first.id(), next(String.class));
+    }
+  }
+
   @AfterEach
   void end() throws IOException {
     loop.post(0, loop::end);
