An engine that is gone is forgotten at the next tick, not at the next list

Choice.engines forgot those that were gone with nothing out only when a list came, so that one whose last attempt ended later stayed until the next event.

--- a/src/main/java/reachloom/Choice.java
+++ b/src/main/java/reachloom/Choice.java
@@ -138,7 +138,6 @@
     }
     engines.values().stream().filter(e -> complete && !named.contains(e.name))
         .forEach(e -> e.state = EngineState.GONE);
-    engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
     List<Engine> up = engines.values().stream().filter(e -> e.state == EngineState.UP).toList();
     pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
     pool.memoryMb = up.stream().mapToDouble(e -> e.memoryMb).sum();
@@ -766,6 +765,7 @@
     noteStall(now);
     lastTick = now;
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
+    engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
     for (Engine e : engines.values()) {
       watchOver(now, e);
       moveBound(now, e, pressed(now, e));
--- a/src/test/java/reachloom/gateway/LongDayTest.java
+++ b/src/test/java/reachloom/gateway/LongDayTest.java
@@ -58,7 +58,8 @@
       }
       assertTrue(served > ROUNDS / 2, served + " served");
       Map<String, Integer> held = held(gateway);
-      for (int i = 0; i < 200 && (held.get("requests") > 0 || held.get("engines") > 1); i++) {
+      for (int i = 0; i < 200 && (held.get("requests") > 0 || held.get("engines") > 1 || size("engines") > 1);
+          i++) {
         Thread.sleep(50);
         held = held(gateway);
       }
