--- a/src/test/java/reachloom/gateway/ServeTest.java
+++ b/src/test/java/reachloom/gateway/ServeTest.java
@@ -262,6 +262,11 @@
     }
   }
 
+  private static void assertEnds(Process process, int status) throws InterruptedException {
+    assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(status, process.exitValue());
+  }
+
   private void awaitLine(String part) throws InterruptedException {
     await(() -> {
       try {
@@ -362,8 +367,7 @@
   void anAddressThatIsTakenEndsTheStartWithOneLine() throws Exception {
     Path log = folder.resolve("second");
     Process second = GatewayProcess.start(folder.resolve("config.json"), log, "serve");
-    assertTrue(second.waitFor(20, TimeUnit.SECONDS));
-    assertEquals(1, second.exitValue());
+    assertEnds(second, 1);
     assertTrue(Files.readString(log).contains("can't be bound"));
     assertEquals(1, Files.readAllLines(log).size());
     assertTrue(gateway.alive());
@@ -373,8 +377,7 @@
   void rehearsingStartsAndEndsWellByItself() throws Exception {
     Path log = folder.resolve("rehearsal.log");
     Process rehearsal = GatewayProcess.start(folder.resolve("none.json"), log, "rehearse");
-    assertTrue(rehearsal.waitFor(20, TimeUnit.SECONDS));
-    assertEquals(0, rehearsal.exitValue());
+    assertEnds(rehearsal, 0);
     assertTrue(Files.readString(log).contains("sample has stopped"));
   }
 
@@ -385,8 +388,7 @@
     Files.writeString(config, good.replace("\"seed\":", "\"sead\":"));
     Path log = folder.resolve("bad.log");
     Process bad = GatewayProcess.start(config, log, "serve");
-    assertTrue(bad.waitFor(20, TimeUnit.SECONDS));
-    assertEquals(2, bad.exitValue());
+    assertEnds(bad, 2);
     assertEquals(List.of("reachloom: seed: is missing"), Files.readAllLines(log));
   }
 }
