Settings of an installation as XML with a schema, off where there is no file

Need: gossip, sites and further listeners need settings that the platform's JSON has no place for.

A message names file, line, element and attribute. SIGHUP reads the file again and tells what took effect and what waits for a restart. check-config reads both forms. deploy/reachloom.xml shows the form with all off; the run line is unchanged.

No class that reads XML is loaded without a file.

--- a/gateway/src/main/java/reachloom/Main.java
+++ b/gateway/src/main/java/reachloom/Main.java
@@ -9,11 +9,13 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import reachloom.benchlink.BenchLink;
 import reachloom.config.ConfigException;
 import reachloom.config.GatewayConfig;
+import reachloom.config.LocalSettings;
 import reachloom.gateway.lifecycle.Server;
 
 /** Entry point: picks what is to be run by its sub-command. */
@@ -26,7 +28,7 @@
       "commands:",
       "  serve               one gateway on sockets, configured by the file that LB_CONFIG names",
       "  benchlink           decide for many gateways on the simulator's wire (standard input and output)",
-      "  check-config FILE   read a configuration file and say what is wrong with it",
+      "  check-config FILE   read a configuration (JSON) or settings (XML) and say what is wrong with it",
       "  rehearse            start with a made-up configuration on loopback, then stop (see deploy)",
       "  version             print the version",
       "",
@@ -43,7 +45,11 @@
   }
 
   static int run(String[] args, PrintStream out, PrintStream err) throws IOException, InterruptedException {
-    Options options = new Options().addOption("h", "help", false, "print this text");
+    Options options = new Options().addOption("h", "help", false, "print this text")
+        .addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
+            .desc("serve with the settings of an installation (XML); else those that "
+                + LocalSettings.VARIABLE + " names")
+            .build());
     CommandLine line;
     try {
       line = new DefaultParser().parse(options, args);
@@ -67,18 +73,17 @@
       switch (command) {
         case "serve" -> {
           Map<String, String> environment = System.getenv();
-          return new Server(GatewayConfig.fromEnvironment(environment), environment).run();
+          return new Server(GatewayConfig.fromEnvironment(environment), environment,
+              line.getOptionValue("settings")).run();
         }
         case "rehearse" -> {
-          return new Server(GatewayConfig.sample(), Map.of()).rehearse();
+          return new Server(GatewayConfig.sample(), Map.of(), null).rehearse();
         }
         case "benchlink" -> {
           return new BenchLink(err).serve(System.in, out);
         }
         case "check-config" -> {
-          GatewayConfig config = GatewayConfig.fromFile(Path.of(words.get(1)), Map.of());
-          out.println(words.get(1) + ": good; " + config.name() + " at " + config.listen() + ", "
-              + config.known().size() + " engines known, " + config.names().classes().size() + " classes");
+          out.println(words.get(1) + ": good; " + checked(words.get(1)));
           return OK;
         }
         case "version" -> {
@@ -97,6 +102,18 @@
     }
   }
 
+  /** What a file of either form tells; XML by its ending, since neither form can be taken for the other. */
+  private static String checked(String file) throws ConfigException {
+    if (file.endsWith(".xml")) {
+      return LocalSettings.read(file, Map.of()).gossip()
+          .map(g -> "gossip on at " + g.listen() + ", cluster " + g.cluster() + ", " + g.seeds().size()
+              + " seeds").orElse("gossip off");
+    }
+    GatewayConfig config = GatewayConfig.fromFile(Path.of(file), Map.of());
+    return config.name() + " at " + config.listen() + ", " + config.known().size() + " engines known, "
+        + config.names().classes().size() + " classes";
+  }
+
   private static void usage(Options options, PrintStream to) {
     PrintWriter writer = new PrintWriter(to);
     HelpFormatter help = new HelpFormatter();
--- /dev/null
+++ b/gateway/src/main/java/reachloom/config/LocalSettings.java
@@ -0,0 +1,67 @@
+package reachloom.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What an installation sets beside the platform's configuration. What is absent is off; the file itself may
+ * be absent, and then no class that reads XML is loaded.
+ */
+public record LocalSettings(Optional<GossipSettings> gossip) {
+  /** The variable that names the file where the command line does not. */
+  public static final String VARIABLE = "REACHLOOM_SETTINGS";
+
+  /** All defaults: nothing is on. */
+  public static LocalSettings none() {
+    return new LocalSettings(Optional.empty());
+  }
+
+  /** Reads the file that the command line names, else the one of the environment, else none. */
+  public static LocalSettings read(String option, Map<String, String> environment) throws ConfigException {
+    String file = option != null ? option : environment.getOrDefault(VARIABLE, "");
+    return file.isBlank() ? none() : SettingsFile.read(Path.of(file));
+  }
+
+  /** What differs in settings read anew and can't change while the gateway runs. */
+  public List<String> fixed(LocalSettings next) {
+    List<String> keys = new ArrayList<>();
+    GossipSettings old = gossip.orElse(null);
+    GossipSettings now = next.gossip.orElse(null);
+    if (old == null || now == null) {
+      if (old != now) {
+        keys.add("gossip");
+      }
+      return keys;
+    }
+    difference(keys, "gossip cluster", old.cluster(), now.cluster());
+    difference(keys, "gossip listen", old.listen(), now.listen());
+    difference(keys, "gossip periodMs", old.period(), now.period());
+    difference(keys, "gossip bytesPerSecond", old.bytesPerSecond(), now.bytesPerSecond());
+    return keys;
+  }
+
+  /** What differs in settings read anew and takes effect at once. */
+  public List<String> taken(LocalSettings next) {
+    List<String> keys = new ArrayList<>();
+    if (gossip.isPresent() && next.gossip.isPresent()) {
+      GossipSettings old = gossip.get();
+      GossipSettings now = next.gossip.get();
+      difference(keys, "gossip identity", List.of(old.key(), old.certificate()),
+          List.of(now.key(), now.certificate()));
+      difference(keys, "gossip authority", old.authorities(), now.authorities());
+      difference(keys, "gossip revoked", old.revoked(), now.revoked());
+      difference(keys, "gossip seed", old.seeds(), now.seeds());
+    }
+    return keys;
+  }
+
+  private static void difference(List<String> keys, String key, Object old, Object now) {
+    if (!Objects.equals(old, now)) {
+      keys.add(key);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/reachloom/config/SettingsFile.java
@@ -0,0 +1,172 @@
+package reachloom.config;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.parsers.SAXParser;
+import javax.xml.parsers.SAXParserFactory;
+import javax.xml.validation.SchemaFactory;
+import org.xml.sax.Attributes;
+import org.xml.sax.InputSource;
+import org.xml.sax.Locator;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+import org.xml.sax.helpers.DefaultHandler;
+
+/**
+ * Reads the settings file: XML checked against {@code reachloom.xsd}, which also gives the defaults. Document
+ * type declarations, and with them entities from elsewhere, are refused: a settings file has no use for them.
+ */
+final class SettingsFile extends DefaultHandler {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final long MOST_BYTES = 1 << 20;
+
+  private record Element(String name, int line, Map<String, String> values, List<Element> children) {
+    List<Element> all(String child) {
+      return children.stream().filter(c -> c.name.equals(child)).toList();
+    }
+  }
+
+  private final Path file;
+  private final Deque<Element> open = new ArrayDeque<>();
+  private Element root;
+  private Locator locator;
+  private SAXParseException fault;
+
+  private SettingsFile(Path file) {
+    this.file = file;
+  }
+
+  /** The settings in that file, or what is wrong with them: file, line and element. */
+  static LocalSettings read(Path file) throws ConfigException {
+    byte[] text;
+    try {
+      if (Files.size(file) > MOST_BYTES) {
+        throw new ConfigException(file + ": is larger than " + MOST_BYTES + " bytes");
+      }
+      text = Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new ConfigException(file + ": cannot be read (" + e.getClass().getSimpleName() + ")");
+    }
+    SettingsFile reader = new SettingsFile(file);
+    try {
+      parser().parse(new InputSource(new ByteArrayInputStream(text)), reader);
+      if (reader.fault != null) {
+        throw reader.fault;
+      }
+    } catch (SAXParseException e) {
+      throw new ConfigException(file + ":" + e.getLineNumber() + ": " + reason(e));
+    } catch (SAXException | IOException | ParserConfigurationException e) {
+      throw new ConfigException(file + ": cannot be read: " + e.getMessage());
+    }
+    return reader.settings();
+  }
+
+  private static SAXParser parser() throws SAXException, ParserConfigurationException {
+    SchemaFactory schemas = SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI);
+    schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
+    schemas.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
+    URL schema = SettingsFile.class.getResource("reachloom.xsd");
+    SAXParserFactory parsers = SAXParserFactory.newInstance();
+    parsers.setNamespaceAware(true);
+    parsers.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+    parsers.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+    parsers.setFeature("http://xml.org/sax/features/external-general-entities", false);
+    parsers.setFeature("http://xml.org/sax/features/external-parameter-entities", false);
+    parsers.setSchema(schemas.newSchema(schema));
+    return parsers.newSAXParser();
+  }
+
+  /** The validator's words without its own numbers of rules. */
+  private static String reason(SAXParseException e) {
+    return e.getMessage().replaceFirst("^cvc-[\\w.-]+: ", "").replaceAll("\"urn:reachloom:settings:1\":", "");
+  }
+
+  // ---- What the parser tells ----
+
+  @Override
+  public void setDocumentLocator(Locator l) {
+    locator = l;
+  }
+
+  @Override
+  public void startElement(String uri, String name, String prefixed, Attributes attributes) {
+    Map<String, String> values = new LinkedHashMap<>();
+    for (int i = 0; i < attributes.getLength(); i++) {
+      values.put(attributes.getLocalName(i), attributes.getValue(i));
+    }
+    Element e = new Element(name, locator.getLineNumber(), values, new ArrayList<>());
+    if (open.isEmpty()) {
+      root = e;
+    } else {
+      open.peek().children.add(e);
+    }
+    open.push(e);
+  }
+
+  @Override
+  public void endElement(String uri, String name, String prefixed) {
+    open.pop();
+  }
+
+  /** A value is told of twice: first what is wrong with it, then which attribute of which element it is. */
+  @Override
+  public void error(SAXParseException e) {
+    boolean named = fault != null && e.getMessage().startsWith("cvc-attribute")
+        && !fault.getMessage().startsWith("cvc-attribute") && e.getLineNumber() == fault.getLineNumber();
+    fault = fault == null || named ? e : fault;
+  }
+
+  @Override
+  public void fatalError(SAXParseException e) throws SAXException {
+    throw e;
+  }
+
+  // ---- What it means ----
+
+  private LocalSettings settings() throws ConfigException {
+    Optional<GossipSettings> gossip = Optional.empty();
+    for (Element e : root.all("gossip")) {
+      if (Boolean.parseBoolean(e.values.get("enabled")) || e.values.get("enabled").equals("1")) {
+        gossip = Optional.of(gossip(e));
+      }
+    }
+    return new LocalSettings(gossip);
+  }
+
+  private GossipSettings gossip(Element e) throws ConfigException {
+    Element identity = e.all("identity").get(0);
+    List<Path> authorities = new ArrayList<>();
+    e.all("authority").forEach(a -> authorities.add(path(a, "file")));
+    List<InetSocketAddress> seeds = new ArrayList<>();
+    for (Element seed : e.all("seed")) {
+      seeds.add(address(seed, "address"));
+    }
+    List<Element> revoked = e.all("revoked");
+    return new GossipSettings(e.values.get("cluster"), address(e, "listen"),
+        Integer.parseInt(e.values.get("bytesPerSecond")),
+        Long.parseLong(e.values.get("periodMs")) * MILLISECOND, path(identity, "key"),
+        path(identity, "certificate"), List.copyOf(authorities),
+        revoked.isEmpty() ? null : path(revoked.get(0), "file"), List.copyOf(seeds));
+  }
+
+  private Path path(Element e, String key) {
+    return file.toAbsolutePath().resolveSibling(e.values.get(key)).normalize();
+  }
+
+  private InetSocketAddress address(Element e, String key) throws ConfigException {
+    return GatewayConfig.address(e.values.get(key), file + ":" + e.line + ": " + e.name + ": " + key);
+  }
+}
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import reachloom.Choice;
 import reachloom.config.ConfigException;
 import reachloom.config.GatewayConfig;
+import reachloom.config.LocalSettings;
 import reachloom.gateway.Gateway;
 import reachloom.gateway.Loop;
 import sun.misc.Signal;
@@ -32,6 +35,8 @@
 
   private final GatewayConfig config;
   private final Map<String, String> environment;
+  private final String settingsFile;
+  private LocalSettings local;
   private final Loop loop = new Loop();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Gateway gateway;
@@ -39,10 +44,17 @@
   private boolean endWhenReady;
   private long openUntil;
 
-  /** A server that has not started; the environment names the file that SIGHUP reads again. */
-  public Server(GatewayConfig config, Map<String, String> environment) {
+  /**
+   * A server that has not started. The environment names the file that SIGHUP reads again; the settings of
+   * the installation are in the given file, else in the one that the environment names, else all at their
+   * defaults.
+   */
+  public Server(GatewayConfig config, Map<String, String> environment, String settingsFile)
+      throws ConfigException {
     this.config = config;
     this.environment = environment;
+    this.settingsFile = settingsFile;
+    local = LocalSettings.read(settingsFile, environment);
   }
 
   /** Serves until SIGTERM; gives the exit status. */
@@ -89,17 +101,26 @@
   /** Reads the configuration again, off the loop; one that can't be used leaves the old one in force. */
   private synchronized void reload() {
     GatewayConfig next;
+    LocalSettings nextLocal;
     try {
       next = GatewayConfig.fromEnvironment(environment);
+      nextLocal = LocalSettings.read(settingsFile, environment);
     } catch (ConfigException | RuntimeException e) { // a file in any state must not end the gateway
       LOG.log(Level.WARNING, "the configuration stays as it is: {0}", e.getMessage());
       return;
     }
-    for (String key : config.fixed(next)) {
+    List<String> waiting = new ArrayList<>(config.fixed(next));
+    waiting.addAll(local.fixed(nextLocal));
+    for (String key : waiting) {
       LOG.log(Level.WARNING, "{0}: has changed, which takes effect at the next start only", key);
     }
     LOG.log(Level.INFO, "the configuration is read again: changelog {0}, known up to event {1}",
         next.changeLog(), Long.toString(next.lastEvent()));
+    List<String> taken = local.taken(nextLocal);
+    if (!taken.isEmpty()) {
+      LOG.log(Level.INFO, "the settings are read again: {0} in force from now on", String.join(", ", taken));
+    }
+    local = nextLocal;
     loop.post(0, () -> gateway.reload(next));
   }
 
--- a/gateway/src/test/java/reachloom/MainTest.java
+++ b/gateway/src/test/java/reachloom/MainTest.java
@@ -46,6 +46,7 @@
     assertEquals(2, run("--strange"));
     assertEquals(2, run("version", "more"));
     assertEquals(2, run("check-config"));
+    assertEquals(2, run("serve", "--settings"));
   }
 
   @Test
--- /dev/null
+++ b/gateway/src/test/java/reachloom/config/SettingsFileTest.java
@@ -0,0 +1,98 @@
+package reachloom.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The settings of an installation: defaults, messages, and what a hostile file must not bring about. */
+class SettingsFileTest {
+  private static final String GOSSIP = """
+      <gossip cluster="east" listen="127.0.0.1:7946">
+        <identity key="g1.key" certificate="/etc/g1.crt"/>
+        <authority file="ca.crt"/>
+        <seed address="127.0.0.1:7947"/>
+      </gossip>""";
+
+  @TempDir
+  Path folder;
+
+  private LocalSettings read(String inside) throws IOException, ConfigException {
+    return text("<?xml version=\"1.0\"?>\n<reachloom xmlns=\"urn:reachloom:settings:1\">\n" + inside
+        + "\n</reachloom>\n");
+  }
+
+  private LocalSettings text(String whole) throws IOException, ConfigException {
+    return LocalSettings.read(Files.writeString(folder.resolve("s.xml"), whole).toString(), Map.of());
+  }
+
+  private String refused(String inside) {
+    return assertThrows(ConfigException.class, () -> read(inside)).getMessage();
+  }
+
+  @Test
+  void withoutAFileOrWithAnEmptyOneNothingIsOn() throws Exception {
+    assertEquals(LocalSettings.none(), LocalSettings.read(null, Map.of()));
+    assertEquals(LocalSettings.none(), read(""));
+    assertEquals(LocalSettings.none(), read(GOSSIP.replace("<gossip", "<gossip enabled=\"false\"")));
+    assertEquals(LocalSettings.none(), LocalSettings.read("../deploy/reachloom.xml", Map.of()));
+  }
+
+  @Test
+  void whatIsLeftOutHasItsDefaultAndFilesAreBesideTheSettings() throws Exception {
+    GossipSettings g = read(GOSSIP).gossip().orElseThrow();
+    assertEquals(4096, g.bytesPerSecond());
+    assertEquals(1_000_000_000, g.period());
+    assertEquals(folder.resolve("g1.key"), g.key());
+    assertEquals(Path.of("/etc/g1.crt"), g.certificate());
+    assertEquals(7947, g.seeds().get(0).getPort());
+    assertEquals(null, g.revoked());
+    Path file = folder.resolve("s.xml");
+    assertEquals(g, LocalSettings.read(null, Map.of(LocalSettings.VARIABLE, file.toString())).gossip()
+        .orElseThrow());
+  }
+
+  @Test
+  void messagesNameFileLineAndElement() {
+    String start = folder.resolve("s.xml") + ":3: ";
+    String cap = refused(GOSSIP.replace("<gossip", "<gossip bytesPerSecond=\"12\""));
+    assertTrue(cap.startsWith(start) && cap.contains("gossip") && cap.contains("12"), cap);
+    String address = refused(GOSSIP.replace("127.0.0.1:7946", "localhost:7946"));
+    assertTrue(address.startsWith(start) && address.contains("listen"), address);
+    assertEquals(start + "gossip: listen: '127.0.0.1:99999' is not an address of the form 10.0.0.1:4100",
+        refused(GOSSIP.replace("127.0.0.1:7946", "127.0.0.1:99999")));
+    assertTrue(refused(GOSSIP.replace("cluster=\"east\"", "")).contains("cluster"));
+    assertTrue(refused("<gosip/>").contains("gosip"));
+    assertTrue(refused(GOSSIP + GOSSIP).contains("gossip"));
+  }
+
+  @Test
+  void brokenOrHostileFilesEndInOneMessage() {
+    assertTrue(assertThrows(ConfigException.class, () -> text("<reachloom")).getMessage().contains("s.xml:"));
+    assertThrows(ConfigException.class, () -> text(""));
+    assertThrows(ConfigException.class, () -> LocalSettings.read(folder + "/none.xml", Map.of()));
+    String entity = "<!DOCTYPE r [<!ENTITY x SYSTEM \"file:///etc/hostname\">]>"
+        + "<reachloom xmlns=\"urn:reachloom:settings:1\">&x;</reachloom>";
+    String message = assertThrows(ConfigException.class, () -> text(entity)).getMessage();
+    assertTrue(message.contains("DOCTYPE"), message);
+    String huge = "<reachloom xmlns=\"urn:reachloom:settings:1\">" + " ".repeat(1 << 20) + "</reachloom>";
+    assertTrue(assertThrows(ConfigException.class, () -> text(huge)).getMessage().contains("larger"));
+  }
+
+  @Test
+  void aReloadTellsWhatTakesEffectAndWhatWaits() throws Exception {
+    LocalSettings old = read(GOSSIP);
+    LocalSettings next = read(GOSSIP.replace("\"ca.crt\"", "\"new.crt\"").replace("7946", "7950"));
+    assertEquals(List.of("gossip listen"), old.fixed(next));
+    assertEquals(List.of("gossip authority"), old.taken(next));
+    assertEquals(List.of("gossip"), old.fixed(LocalSettings.none()));
+    assertEquals(List.of(), LocalSettings.none().fixed(LocalSettings.none()));
+  }
+}
