--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -62,6 +62,8 @@
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
+  private static final double HEARSAY_LOAD = 3; // load for each unit of what others say: as for own errors
+  private static final double HEARSAY_TEST = 0.5; // accused by several: one query at a time tests it
   private static final double BAD_PLAN = 4; // times the predicted time that the share done points to
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
@@ -355,7 +357,7 @@
     return e.state == EngineState.UP && now >= e.restUntil
         && (q.kind.kinds().isEmpty() || q.kind.kinds().contains(e.info.kind()))
         && (q.kind.zones().isEmpty() || q.kind.zones().contains(e.info.zone()))
-        && repeatAllowed(now, q, e)
+        && repeatAllowed(now, q, e) && (e.hearsay < HEARSAY_TEST || e.out.isEmpty())
         && (now >= e.coldUntil || coldAllowed(now, q, e));
   }
 
@@ -434,6 +436,7 @@
   private List<Engine> candidates(long now, QueryRecord q) {
     List<Engine> draw = engines.values().stream().filter(e -> hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
+    draw = preferred(draw, e -> e.hearsay < HEARSAY_TEST); // where another one has room, it goes there
     return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
 
@@ -453,7 +456,7 @@
 
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * settings.gateways();
-    double load = (1 + ERROR_LOAD * e.errors) * (1 + threads / e.cores) * e.ratio;
+    double load = (1 + ERROR_LOAD * e.errors + HEARSAY_LOAD * e.hearsay) * (1 + threads / e.cores) * e.ratio;
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
@@ -833,6 +836,18 @@
     release(now, false);
   }
 
+  /** Hearsay makes an engine drawn less and tested sooner; it never rests one, nor draws anything to one. */
+  @Override
+  public void hearsay(long now, String engine, double level) {
+    Engine e = engines.get(engine);
+    if (e != null) {
+      e.hearsay = level;
+      if (level >= HEARSAY_TEST && e.state == EngineState.UP && reportsTold() && probeCredit >= 1) {
+        probe(now, e);
+      }
+    }
+  }
+
   private void noteReport(long now, Engine e, Report report) {
     if (report != null && now > stalledUntil) {
       e.report = report;
--- a/decisions/src/main/java/reachloom/Decisions.java
+++ b/decisions/src/main/java/reachloom/Decisions.java
@@ -38,6 +38,12 @@
     /** A timer is due. */
     void wake(long now, long token);
 
+    /**
+     * What other instances say of an engine, weighed: from 0, nothing against it, to 1. It is hearsay: what
+     * this instance has seen itself goes before it.
+     */
+    void hearsay(long now, String engine, double level);
+
     /** A probe is over; {@code report} is null without one. */
     void probed(long now, String engine, boolean answered, Report report);
   }
--- /dev/null
+++ b/decisions/src/main/java/reachloom/gossip/Gossip.java
@@ -0,0 +1,177 @@
+package reachloom.gossip;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import reachloom.evidence.Claim;
+import reachloom.evidence.Corroboration;
+import reachloom.evidence.Corroboration.Belief;
+import reachloom.evidence.Ledger;
+import reachloom.membership.Membership;
+import reachloom.membership.Message;
+import reachloom.membership.News;
+import reachloom.membership.Outbox;
+
+/**
+ * One instance among others: keeps the list of members, tells what it has seen of engines, and makes hearsay
+ * of what others tell. Times are nanoseconds of the clock handed in.
+ */
+public final class Gossip implements Outbox {
+  private static final int REVIEWS = 4; // in a period
+  private static final double STEP = 0.1; // a level that has moved by less is not told again
+  private static final int MOST_CLAIMS = 32; // in one packet
+
+  private final String name;
+  private final long address;
+  private final Transport transport;
+  private final Membership membership;
+  private final Ledger ledger = new Ledger();
+  private final Corroboration corroboration = new Corroboration(ledger);
+  private final BiConsumer<String, Double> hearsay;
+  private final long reviewEvery;
+  private final Map<String, Long> engines = new LinkedHashMap<>();
+  private final Map<String, Double> told = new LinkedHashMap<>();
+  private List<Belief> beliefs = List.of();
+  private long nextReview;
+  private boolean urgent;
+  private long nextTell;
+
+  /** An instance that starts; {@code hearsay} hears of engines whose level has changed. */
+  public Gossip(String name, long address, List<Long> seeds, long now, long period, int cap, long seed,
+      Transport transport, BiConsumer<String, Double> hearsay) {
+    this.name = name;
+    this.address = address;
+    this.transport = transport;
+    this.hearsay = hearsay;
+    reviewEvery = period / REVIEWS;
+    membership = new Membership(name, address, seeds, now, period, cap, new SplittableRandom(seed), this,
+        transport);
+  }
+
+  public Membership membership() {
+    return membership;
+  }
+
+  public Corroboration corroboration() {
+    return corroboration;
+  }
+
+  /** What is believed by hearsay, as of the last review. */
+  public List<Belief> beliefs() {
+    return beliefs;
+  }
+
+  /** An engine is in use from now on; {@code since} is the start of its process. */
+  public void engine(String engine, long since) {
+    Long old = engines.put(engine, since);
+    if (old != null && old != since) { // another process: nothing said of the old one holds
+      ledger.forget(engine);
+      if (told.remove(engine) != null) {
+        hearsay.accept(engine, 0.0);
+      }
+    }
+  }
+
+  /** An engine is no longer in use. */
+  public void engineGone(String engine) {
+    engines.remove(engine);
+    told.remove(engine);
+    ledger.forget(engine);
+  }
+
+  /** This instance has seen something of an engine. */
+  public void seen(long now, String engine, Ledger.Seen seen) {
+    Long since = engines.get(engine);
+    if (since != null) {
+      ledger.note(now, engine, since, seen);
+      urgent |= seen != Ledger.Seen.SERVED;
+    }
+  }
+
+  /** Looks at the clock; to be called as often as {@link Membership#tickEvery} says. */
+  public void tick(long now) {
+    membership.tick(now);
+    if (urgent && now >= nextTell) {
+      urgent = false;
+      nextTell = now + reviewEvery * REVIEWS / 2;
+      membership.tell(now);
+    }
+    if (now >= nextReview) {
+      nextReview = now + reviewEvery;
+      review(now);
+    }
+  }
+
+  private void review(long now) {
+    beliefs = corroboration.review(now, engines);
+    Map<String, Double> levels = new LinkedHashMap<>();
+    beliefs.forEach(b -> levels.put(b.engine(), b.level()));
+    for (String engine : new ArrayList<>(told.keySet())) {
+      if (!levels.containsKey(engine)) {
+        told.remove(engine);
+        hearsay.accept(engine, 0.0);
+      }
+    }
+    levels.forEach((engine, level) -> {
+      double before = told.getOrDefault(engine, 0.0);
+      boolean crossed = before >= Corroboration.ACCUSED != level >= Corroboration.ACCUSED;
+      if (crossed || Math.abs(level - before) >= STEP) {
+        told.put(engine, level);
+        hearsay.accept(engine, level);
+      }
+    });
+  }
+
+  /** A packet has come whose sender is proved. */
+  public void receive(long now, Packet p) {
+    membership.receive(now, p.sender(), p.address(), p.incarnation(), p.message(), p.news());
+    if (membership.member(p.sender()) != null && !p.claims().isEmpty()) {
+      corroboration.hear(now, p.sender(), p.claims());
+    }
+  }
+
+  /** Says good-bye. */
+  public void leave(long now) {
+    membership.leave(now);
+  }
+
+  // ---- What the membership sends ----
+
+  @Override
+  public int send(long now, String to, long at, Message message, List<News> news, int most) {
+    int size = transport.message(to, message);
+    for (News n : news) {
+      size += transport.news(n);
+    }
+    List<Claim> claims = new ArrayList<>();
+    if (size < most) {
+      int room = most - size;
+      int fit = Math.min(MOST_CLAIMS, room / LEAST_CLAIM);
+      for (Claim c : fit <= 0 ? List.<Claim>of() : ledger.tell(now, fit)) {
+        int weight = transport.claim(c);
+        if (weight > room) {
+          break;
+        }
+        claims.add(c);
+        room -= weight;
+        size += weight;
+      }
+    }
+    transport.send(to, at,
+        new Packet(name, address, membership.incarnation(), message, List.copyOf(news), claims));
+    return size;
+  }
+
+  /** A claim takes no less; only so that no more are looked at than may fit. */
+  private static final int LEAST_CLAIM = 24;
+
+  @Override
+  public void changed(long now, News member) {
+    if (!member.state().present()) {
+      corroboration.gone(member.member());
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/reachloom/gossip/Guard.java
@@ -0,0 +1,120 @@
+package reachloom.gossip;
+
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import reachloom.state.TokenBucket;
+
+/**
+ * Stands before the costly check of a signature: what can be refused cheaply is, and the rest has a budget,
+ * so that a flood can't eat this process's part of a core. Sources that members are known to send from have
+ * budgets of their own; all others share one, so that a flood from anywhere else leaves the members alone. It
+ * harms when many join at once: they come in at the pace of the shared budget.
+ */
+public final class Guard {
+  private static final long SECOND = 1_000_000_000; // nanoseconds
+  private static final long CLOCKS_APART = 30 * SECOND; // of two instances; also how long a replay is of use
+  private static final double MEMBER_RATE = 20; // checks a second for packets from one member's address
+  private static final double STRANGER_RATE = 50; // ... and for those from all other addresses together
+  private static final double TOTAL_RATE = 250; // ... and at all
+  private static final int MOST_SOURCES = 4_096;
+  private static final int MOST_SENDERS = 4_096;
+
+  private final Map<Refusal, Long> counts = new EnumMap<>(Refusal.class);
+  private final Map<Long, TokenBucket> members = new LinkedHashMap<>();
+  private final Map<String, Replay> senders = new LinkedHashMap<>(16, 0.75f, true);
+  private final TokenBucket strangers = new TokenBucket(STRANGER_RATE, STRANGER_RATE);
+  private final TokenBucket total = new TokenBucket(TOTAL_RATE, TOTAL_RATE);
+  private long taken;
+
+  /** The cheap checks, in order of their cost: null, or why it is refused. All times are in nanoseconds. */
+  public Refusal admit(long now, long source, boolean ofMember, boolean known, boolean certified,
+      String sender, long itsTime, long seq) {
+    if (Math.abs(now - itsTime) > CLOCKS_APART) {
+      return refuse(Refusal.TIME);
+    }
+    Replay replay = senders.get(sender);
+    if (replay != null && !replay.fresh(seq)) {
+      return refuse(Refusal.REPLAYED);
+    }
+    if (!known && !certified) {
+      return refuse(Refusal.UNKNOWN);
+    }
+    boolean room = ofMember ? bucket(source).take(now) : strangers.take(now);
+    return room && total.take(now) ? null : refuse(Refusal.BUDGET);
+  }
+
+  private TokenBucket bucket(long source) {
+    TokenBucket b = members.get(source);
+    if (b == null) {
+      if (members.size() >= MOST_SOURCES) {
+        members.remove(members.keySet().iterator().next());
+      }
+      b = new TokenBucket(MEMBER_RATE, MEMBER_RATE);
+      members.put(source, b);
+    }
+    return b;
+  }
+
+  /** The signature holds: its number is used up from now on; false where another one was faster. */
+  public boolean take(String sender, long seq) {
+    Replay r = senders.get(sender);
+    if (r == null) {
+      if (senders.size() >= MOST_SENDERS) {
+        senders.remove(senders.keySet().iterator().next());
+      }
+      r = new Replay();
+      senders.put(sender, r);
+    }
+    if (!r.take(seq)) {
+      refuse(Refusal.REPLAYED);
+      return false;
+    }
+    taken++;
+    return true;
+  }
+
+  /** Counts a refusal; gives it back. */
+  public Refusal refuse(Refusal why) {
+    counts.merge(why, 1L, Long::sum);
+    return why;
+  }
+
+  /** How many were refused, by reason. */
+  public Map<Refusal, Long> refused() {
+    return counts.isEmpty() ? Map.of() : new EnumMap<>(counts);
+  }
+
+  /** How many were taken. */
+  public long taken() {
+    return taken;
+  }
+
+  /** Numbers seen of one sender: the largest, and which of those just below it (as in RFC 6479). */
+  static final class Replay {
+    private long largest = Long.MIN_VALUE;
+    private long seen;
+
+    boolean fresh(long seq) {
+      if (largest == Long.MIN_VALUE || seq > largest) {
+        return true;
+      }
+      long behind = largest - seq;
+      return behind >= 0 && behind < Long.SIZE && (seen >>> behind & 1) == 0;
+    }
+
+    boolean take(long seq) {
+      if (!fresh(seq)) {
+        return false;
+      }
+      if (largest == Long.MIN_VALUE || seq > largest) {
+        long ahead = largest == Long.MIN_VALUE ? Long.SIZE : seq - largest;
+        seen = ahead >= Long.SIZE || ahead < 0 ? 1 : seen << ahead | 1;
+        largest = seq;
+      } else {
+        seen |= 1L << largest - seq;
+      }
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/reachloom/membership/Member.java
@@ -0,0 +1,49 @@
+package reachloom.membership;
+
+/** One member as this instance believes it; only {@link Membership} changes it. */
+public final class Member {
+  private final String name;
+  long address;
+  long incarnation;
+  State state;
+  /** When it came into its state. */
+  long since;
+  /** When a packet of its own was last heard; 0 for one known by hearsay alone. */
+  long heardAt;
+  String accuser = "";
+  Suspicion suspicion;
+
+  Member(String name, long address, long incarnation, State state, long since) {
+    this.name = name;
+    this.address = address;
+    this.incarnation = incarnation;
+    this.state = state;
+    this.since = since;
+  }
+
+  public String name() {
+    return name;
+  }
+
+  /** An IPv4 address and a port in the lowest 48 bits. */
+  public long address() {
+    return address;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** When it came into its state. */
+  public long since() {
+    return since;
+  }
+
+  News news() {
+    return new News(name, address, incarnation, state, accuser);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -0,0 +1,669 @@
+package reachloom.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import reachloom.membership.Meter.Use;
+
+/**
+ * One instance's part in keeping the list of members: it probes the others in turn, has others ask for it
+ * where one does not answer, suspects, gives time to object, and lets news ride on what it sends anyway.
+ *
+ * <p>Beyond the sources: nobody is believed about the end of another. That somebody has died or left, told by
+ * a third one, is one more accusation, and each instance lets the time to object pass by itself; so that a
+ * liar can bring a healthy member under suspicion, but not out of the list. A packet of a member's own, whose
+ * sender is proved, goes before all hearsay about its address and incarnation.
+ *
+ * <p>Times are nanoseconds of the clock handed in.
+ */
+public final class Membership {
+  private static final long SECOND = 1_000_000_000; // nanoseconds
+  private static final int MOST_PACKET = 1_200; // bytes; fits each usual path without being cut up
+  private static final int MOST_NAME = 33; // bytes of a name on the wire
+  private static final double DIRECT_SHARE = 0.4; // of a period, for a member's own answer
+  private static final double RELAY_SHARE = 0.3; // ... and for a relay's word on its way back
+  private static final int RELAYS = 3; // k of SWIM: others that are asked to ask
+  private static final int RETOLD = 2; // suspects told again in a period
+  private static final int MOST_RELAYED = 64; // questions that others have put through this one
+  private static final int TICKS = 10; // in a period, at least: more than that late is a standstill
+  private static final double STANDSTILL = 0.5; // of a period
+  private static final int RECONNECT = 4; // periods between tries to reach one given up, or a seed
+  private static final double GREETERS = 2; // members that greet a newcomer without being asked, about
+  private static final int MOST_DOUBLINGS = 1; // of the pause between two tries to join
+  // periods between two rounds of bringing tables together, at most and on average
+  private static final int SYNC = 12;
+  private static final int SETTLING = 15; // periods after which one that starts probes in any case
+  private static final int MARK = 2; // bytes
+  private static final int MOST_MEMBERS = 2_048; // held, the dead among them
+  private static final long DEAD_MEMORY = 600; // periods for which one that is gone is remembered
+  private static final long FUTURE = 60; // seconds that an incarnation heard of may be ahead of the clock
+
+  private record Relayed(String asker, long address, long seq, String target, long until) {
+  }
+
+  /** A question that is out. */
+  private static final class Probe {
+    private final Member target;
+    private final long seq;
+    private final long startedAt;
+    private long directUntil;
+    private long until;
+    private boolean indirect;
+    private int asked;
+    private int nacks;
+
+    Probe(Member target, long seq, long now, long directUntil, long until) {
+      this.target = target;
+      this.seq = seq;
+      this.startedAt = now;
+      this.directUntil = directUntil;
+      this.until = until;
+    }
+  }
+
+  private final String name;
+  private final long address;
+  private final long period;
+  private final SplittableRandom random;
+  private final Outbox out;
+  private final Weights weights;
+  private final Meter meter;
+  private final Health health = new Health();
+  private final Rumours rumours = new Rumours();
+  private final TreeMap<String, Member> members = new TreeMap<>();
+  private final List<Member> order = new ArrayList<>();
+  private final Map<Long, Relayed> relayed = new LinkedHashMap<>();
+  private List<Long> seeds;
+  private long incarnation;
+  private long seq;
+  private int next;
+  private int present;
+  private Probe probe;
+  private long nextProbeAt;
+  private long nextReconnectAt;
+  private long nextSyncAt;
+  private String syncAfter = "";
+  private boolean syncHungry;
+  private int quietRounds;
+  private Member teller;
+  private final long startedAt;
+  /** Until it knows about whom it has to deal with, it asks nobody whether he is there. */
+  private boolean settled;
+  private boolean pulled;
+  private int lonely;
+  private long lastTick;
+  private boolean leaving;
+
+  /** An instance that starts; {@code cap} bounds the bytes that it sends in a second. */
+  public Membership(String name, long address, List<Long> seeds, long now, long period, int cap,
+      SplittableRandom random, Outbox out, Weights weights) {
+    this.name = name;
+    this.address = address;
+    this.seeds = List.copyOf(seeds);
+    this.period = period;
+    this.random = random;
+    this.out = out;
+    this.weights = weights;
+    meter = new Meter(cap);
+    incarnation = now / SECOND;
+    seq = random.nextInt(1 << 16);
+    lastTick = now;
+    startedAt = now;
+    nextProbeAt = now + random.nextLong(period);
+    nextReconnectAt = now; // who starts asks the seeds at once
+    nextSyncAt = now + random.nextLong(period);
+  }
+
+  // ---- What is believed ----
+
+  /** All members but this one, those that are gone among them as long as they are remembered. */
+  public Collection<Member> members() {
+    return Collections.unmodifiableCollection(members.values());
+  }
+
+  /** The member of that name, or null. */
+  public Member member(String of) {
+    return members.get(of);
+  }
+
+  /** How many members there are, this one among them. */
+  public int size() {
+    return present + 1;
+  }
+
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** How badly this instance does by its own probes: 0 is well, 8 the most. */
+  public int health() {
+    return health.score();
+  }
+
+  /** The meter of all that goes out, evidence and answers to operators among it. */
+  public Meter meter() {
+    return meter;
+  }
+
+  /** How often {@link #tick} is to be called. */
+  public long tickEvery() {
+    return period / TICKS;
+  }
+
+  /** The largest packet. */
+  public int mostPacket() {
+    return MOST_PACKET;
+  }
+
+  /** Takes over seeds of settings read anew. */
+  public void seeds(List<Long> now) {
+    seeds = List.copyOf(now);
+  }
+
+  // ---- Time ----
+
+  /** Looks at the clock: what is due goes out, what has run out is judged. */
+  public void tick(long now) {
+    noteStandstill(now);
+    lastTick = now;
+    if (leaving) {
+      return;
+    }
+    followProbe(now);
+    settled |= now - startedAt > SETTLING * period;
+    if (settled && now >= nextProbeAt) {
+      startProbe(now);
+    }
+    judgeSuspects(now);
+    relayed.values().removeIf(r -> {
+      if (now >= r.until) {
+        send(now, Use.ANSWER, r.asker, r.address, new Message.Nack(r.seq));
+      }
+      return now >= r.until;
+    });
+    if (now >= nextReconnectAt) {
+      reconnect(now);
+    }
+    if (now >= nextSyncAt && present > 0) {
+      sync(now);
+    }
+    forget(now);
+  }
+
+  /**
+   * Against a process that stood still: what it did not hear meanwhile blames itself, not the others. It
+   * harms when a member dies while this one stands: it is found so much later.
+   */
+  private void noteStandstill(long now) {
+    long late = now - lastTick - period / TICKS;
+    if (late <= period * STANDSTILL) {
+      return;
+    }
+    health.worse((int) Math.min(TICKS, 1 + late / period));
+    members.values().stream().filter(m -> m.suspicion != null)
+        .forEach(m -> m.suspicion.shift(late + m.suspicion.least()));
+    if (probe != null) { // its answer may wait on the socket, or have been dropped
+      probe.directUntil += late + period;
+      probe.until += late + period;
+    }
+  }
+
+  private void followProbe(long now) {
+    if (probe == null) {
+      return;
+    }
+    if (!probe.indirect && now >= probe.directUntil) {
+      probe.indirect = true;
+      List<Member> relays = draw(RELAYS, m -> m != probe.target && m.state == State.ALIVE);
+      for (Member relay : relays) {
+        Message ask = new Message.PingRequest(probe.seq, probe.target.name(), probe.target.address);
+        probe.asked += send(now, Use.PROBE, relay.name(), relay.address, ask) ? 1 : 0;
+      }
+    }
+    if (now >= probe.until) {
+      // Relays that did not even say "no" show that it is this instance which does not hear.
+      health.worse(probe.asked == 0 ? 1 : probe.asked - Math.min(probe.asked, probe.nacks));
+      Member target = probe.target;
+      probe = null;
+      if (target.state == State.ALIVE) {
+        suspect(now, target, name);
+      } else if (target.state == State.SUSPECT && target.suspicion.confirm(name)) {
+        rumours.add(target.news());
+      }
+    }
+  }
+
+  private void startProbe(long now) {
+    nextProbeAt = now + health.stretch(period);
+    tellSuspects(now);
+    if (probe != null) {
+      return;
+    }
+    Member target = nextTarget();
+    if (target == null) {
+      return;
+    }
+    long direct = health.stretch((long) (period * DIRECT_SHARE));
+    Probe started = new Probe(target, seq++, now, now + direct, now + health.stretch(period));
+    // Without room for the question, nobody may be blamed for no answer.
+    probe = send(now, Use.PROBE, target.name(), target.address, new Message.Ping(started.seq, target.name()))
+        ? started : null;
+  }
+
+  /**
+   * Whom this one accuses is asked again in each period, and so hears of it at once: its objection follows
+   * the accusation by one or two periods, instead of by the time that news takes to get round twice.
+   */
+  private void tellSuspects(long now) {
+    members.values().stream().filter(m -> m.state == State.SUSPECT && m.accuser.equals(name))
+        .limit(RETOLD).toList()
+        .forEach(m -> send(now, Use.PROBE, m.name(), m.address, new Message.Ping(seq++, m.name())));
+  }
+
+  /**
+   * Each one once in each round, in an order drawn anew for each: what bounds the time until a crash is seen.
+   */
+  private Member nextTarget() {
+    for (int i = 0; i <= order.size(); i++) {
+      if (next >= order.size()) {
+        shuffle();
+        next = 0;
+      }
+      if (order.isEmpty()) {
+        return null;
+      }
+      Member m = order.get(next++);
+      if (m.state.present()) {
+        return m;
+      }
+    }
+    return null;
+  }
+
+  private void shuffle() {
+    order.removeIf(m -> !m.state.present() || members.get(m.name()) != m);
+    for (int i = order.size() - 1; i > 0; i--) {
+      Collections.swap(order, i, random.nextInt(i + 1));
+    }
+  }
+
+  private void judgeSuspects(long now) {
+    for (Member m : members.values()) {
+      if (m.suspicion != null && now >= m.suspicion.until()) {
+        turn(now, m, State.DEAD, m.incarnation);
+      }
+    }
+  }
+
+  /** Tries those given up, and the seeds: two halves that have lost each other find together again. */
+  private void reconnect(long now) {
+    nextReconnectAt = now + RECONNECT * period;
+    List<Member> gone = members.values().stream().filter(m -> m.state == State.DEAD).toList();
+    if (!gone.isEmpty()) {
+      Member m = gone.get(random.nextInt(gone.size()));
+      send(now, Use.SYNC, m.name(), m.address, new Message.Ping(seq++, m.name()));
+    }
+    List<Long> unknown = seeds.stream().filter(s -> s != address
+        && members.values().stream().noneMatch(m -> m.address == s && m.state.present())).toList();
+    if (!unknown.isEmpty()) {
+      long seed = unknown.get(random.nextInt(unknown.size()));
+      send(now, Use.SYNC, "", seed, new Message.Ping(seq++, ""));
+      if (present == 0) { // the more often in vain, the more others there must be who try
+        long pause = period << Math.min(lonely++, MOST_DOUBLINGS);
+        nextReconnectAt = now + pause / 2 + random.nextLong(pause);
+      }
+    }
+  }
+
+  /**
+   * Asks a member drawn by chance for what it holds and this one does not. Where the table is too large for
+   * one question, the next one goes on behind it.
+   */
+  private void sync(long now) {
+    // One that has more to tell is asked again: it needs no certificate any more, and knows what was told.
+    Member m = syncHungry && teller != null && teller.state == State.ALIVE ? teller : null;
+    List<Member> drawn = m != null ? List.of(m) : draw(1, d -> d.state == State.ALIVE);
+    if (drawn.isEmpty()) {
+      return;
+    }
+    m = drawn.get(0);
+    teller = null;
+    int salt = random.nextInt();
+    int size = weights.message(m.name(), new Message.Pull(syncAfter, "", salt, List.of())) + MOST_NAME;
+    if (!meter.room(now, Use.SYNC, size)) {
+      nextSyncAt = now + random.nextLong(period);
+      return;
+    }
+    List<Integer> marks = new ArrayList<>();
+    String last = "";
+    int room = (meter.sync(now, size, MOST_PACKET) - size) / MARK;
+    for (Member held : members.tailMap(syncAfter, false).values()) {
+      if (marks.size() >= room) {
+        break;
+      }
+      marks.add(Marks.of(salt, held));
+      last = held.name();
+    }
+    boolean whole = last.isEmpty() || members.higherKey(last) == null;
+    Message pull = new Message.Pull(syncAfter, whole ? "" : last, salt, marks);
+    meter.sent(now, out.send(now, m.name(), m.address, pull, List.of(), 0), 0);
+    syncAfter = whole ? "" : last;
+    pulled = true;
+    // Rounds that bring nothing new come less and less often; the others close upon each other.
+    quietRounds = syncHungry ? 0 : quietRounds + (whole ? 1 : 0);
+    long pause = Math.min(SYNC, 1L << Math.min(quietRounds, Byte.SIZE)) * period;
+    nextSyncAt = now + pause / 2 + random.nextLong(pause); // without an answer, too: there will be others
+  }
+
+  /** What is held of members in that range and has no mark there; those gone are others' own to find out. */
+  private Message.Part lacking(Message.Pull p, int room) {
+    Set<Integer> marks = new TreeSet<>(p.marks());
+    List<News> held = new ArrayList<>();
+    int left = room;
+    boolean more = false;
+    List<Member> open = new ArrayList<>();
+    for (Member m : members.tailMap(p.after(), false).values()) {
+      if (!p.last().isEmpty() && m.name().compareTo(p.last()) > 0) {
+        break;
+      }
+      if (m.state.present() && !marks.contains(Marks.of(p.salt(), m))) {
+        open.add(m);
+      }
+    }
+    Collections.rotate(open, open.isEmpty() ? 0 : random.nextInt(open.size())); // not the same ones to each
+    for (Member m : open) {
+      News n = m.news();
+      if (weights.news(n) > left) {
+        more = true;
+        break;
+      }
+      held.add(n);
+      left -= weights.news(n);
+    }
+    return new Message.Part(more, held);
+  }
+
+  /** A part of somebody's table has come, asked for or as a welcome. */
+  private void part(long now, Member from, Message.Part p) {
+    int before = members.size();
+    p.held().forEach(n -> hear(now, n, from.name(), false));
+    syncHungry = p.more() || !pulled || members.size() > before; // where something was new, there is more
+    teller = p.more() ? from : null;
+    settled |= !syncHungry;
+    if (syncHungry) {
+      nextSyncAt = Math.min(nextSyncAt, now + period / TICKS + random.nextLong(period / 2));
+    }
+    pulled = false;
+  }
+
+  private void forget(long now) {
+    members.values().removeIf(m -> !m.state.present() && now - m.since > DEAD_MEMORY * period);
+  }
+
+  // ---- What comes ----
+
+  /** A packet has come whose sender is proved; {@code from} is where that sender says it listens. */
+  public void receive(long now, String sender, long from, long itsIncarnation, Message message,
+      List<News> news) {
+    if (sender.equals(name) || leaving) {
+      return;
+    }
+    Member m = direct(now, sender, from, itsIncarnation);
+    if (m == null) {
+      return; // the table is full of others
+    }
+    if (message instanceof Message.Leave) {
+      if (itsIncarnation >= m.incarnation && m.state != State.LEFT) {
+        turn(now, m, State.LEFT, itsIncarnation);
+      }
+      return;
+    }
+    news.forEach(n -> hear(now, n, sender, true));
+    answer(now, m, message);
+  }
+
+  private void answer(long now, Member m, Message message) {
+    if (message instanceof Message.Ping p) {
+      if (p.target().isEmpty()) {
+        welcome(now, m);
+      } else if (p.target().equals(name)) {
+        send(now, Use.ANSWER, m.name(), m.address, new Message.Ack(p.seq()));
+      }
+    } else if (message instanceof Message.Ack a) {
+      acked(now, m, a.seq());
+    } else if (message instanceof Message.Nack n) {
+      if (probe != null && probe.seq == n.seq()) {
+        probe.nacks++;
+      }
+    } else if (message instanceof Message.PingRequest r) {
+      relay(now, m, r);
+    } else if (message instanceof Message.Pull p) {
+      int size = weights.message(m.name(), new Message.Part(false, List.of()));
+      if (meter.room(now, Use.SYNC, size)) {
+        int most = meter.sync(now, size, MOST_PACKET);
+        meter.sent(now, out.send(now, m.name(), m.address, lacking(p, most - size), List.of(), most), 0);
+      }
+    } else if (message instanceof Message.Part p) {
+      part(now, m, p);
+    }
+  }
+
+  /**
+   * Tells one that asks whoever listens here of some others, drawn by chance: when many join at once, few
+   * answers that spread them over all members are worth more than many that keep them with the seeds.
+   */
+  private void welcome(long now, Member m) {
+    Message none = new Message.Part(true, List.of());
+    int size = weights.message(m.name(), none);
+    int left = Math.min(meter.packet(), MOST_PACKET - size);
+    List<News> some = new ArrayList<>();
+    for (Member other : draw(left / weights.news(own()), o -> o != m && o.state == State.ALIVE)) {
+      left -= weights.news(other.news());
+      if (left >= 0) {
+        some.add(other.news());
+        size += weights.news(other.news());
+      }
+    }
+    if (meter.room(now, Use.WELCOME, size)) {
+      meter.sent(now, out.send(now, m.name(), m.address, new Message.Part(true, some), List.of(), size), 0);
+    }
+  }
+
+  private void acked(long now, Member m, long ofSeq) {
+    if (probe != null && probe.seq == ofSeq) {
+      // An answer that came through a relay bears the relay's name, and the same number.
+      if (probe.target == m && now < probe.directUntil) {
+        health.better();
+      }
+      probe = null;
+      return;
+    }
+    Relayed r = relayed.get(ofSeq);
+    if (r != null && r.target.equals(m.name())) {
+      relayed.remove(ofSeq);
+      send(now, Use.ANSWER, r.asker, r.address, new Message.Ack(r.seq));
+    }
+  }
+
+  private void relay(long now, Member asker, Message.PingRequest r) {
+    if (relayed.size() >= MOST_RELAYED || r.target().equals(name)) {
+      return;
+    }
+    long mine = seq++;
+    if (send(now, Use.ANSWER, r.target(), r.address(), new Message.Ping(mine, r.target()))) {
+      relayed.put(mine, new Relayed(asker.name(), asker.address, r.seq(), r.target(),
+          now + (long) (period * RELAY_SHARE)));
+    }
+  }
+
+  /** A packet of its own shows a member alive, where it listens, and in which incarnation. */
+  private Member direct(long now, String sender, long from, long itsIncarnation) {
+    Member m = members.get(sender);
+    if (m == null) {
+      m = join(now, sender, from, itsIncarnation, true);
+      if (m == null) {
+        return null;
+      }
+    } else if (itsIncarnation > m.incarnation) {
+      m.address = from;
+      turn(now, m, State.ALIVE, itsIncarnation);
+    } else if (m.heardAt == 0 && itsIncarnation == m.incarnation && m.address != from) {
+      m.address = from; // hearsay had it elsewhere
+      rumours.add(m.news());
+    }
+    m.heardAt = now;
+    return m;
+  }
+
+  private Member join(long now, String who, long at, long itsIncarnation, boolean isNews) {
+    if (members.size() >= MOST_MEMBERS && !evict()) {
+      return null;
+    }
+    Member m = new Member(who, at, itsIncarnation, State.ALIVE, now);
+    members.put(who, m);
+    present++;
+    order.add(next + random.nextInt(order.size() - next + 1), m);
+    if (isNews) {
+      rumours.add(m.news());
+    }
+    out.changed(now, m.news());
+    return m;
+  }
+
+  /** Makes room in the table: the one gone for longest goes; false where all are present. */
+  private boolean evict() {
+    Member oldest = members.values().stream().filter(m -> !m.state.present())
+        .min((a, b) -> Long.compare(a.since, b.since)).orElse(null);
+    return oldest != null && members.remove(oldest.name()) != null;
+  }
+
+  /** What somebody says of somebody; what stands in a table that was asked for is no news to be passed on. */
+  private void hear(long now, News n, String teller, boolean isNews) {
+    if (n.incarnation() > now / SECOND + FUTURE) {
+      return; // no honest instance has got there: it would leave no number to object with
+    }
+    if (n.member().equals(name)) {
+      hearOfSelf(now, n);
+      return;
+    }
+    Member m = members.get(n.member());
+    if (m == null) {
+      if (n.state() == State.ALIVE) {
+        Member joined = join(now, n.member(), n.address(), n.incarnation(), isNews);
+        if (joined != null && isNews && random.nextDouble() * size() < GREETERS) {
+          welcome(now, joined); // the seeds may have no room left for it
+        }
+      }
+    } else if (n.state() == State.ALIVE) {
+      if (n.incarnation() > m.incarnation) {
+        m.address = n.address();
+        turn(now, m, State.ALIVE, n.incarnation());
+      }
+    } else if (n.incarnation() >= m.incarnation && m.state.present()) {
+      m.incarnation = n.incarnation();
+      String accuser = n.state() == State.SUSPECT && !n.by().isEmpty() ? n.by() : teller;
+      if (m.state == State.ALIVE) {
+        suspect(now, m, accuser);
+      } else if (m.suspicion.confirm(accuser)) {
+        m.accuser = accuser;
+        rumours.add(m.news());
+      }
+    }
+  }
+
+  /** Objects to what can't be true: this one is here, in the incarnation that it says. */
+  private void hearOfSelf(long now, News n) {
+    boolean wrong = n.state() != State.ALIVE && n.incarnation() >= incarnation
+        || n.incarnation() > incarnation || n.incarnation() == incarnation && n.address() != address;
+    if (!wrong) {
+      return;
+    }
+    if (n.state() != State.ALIVE) {
+      health.worse(1);
+    }
+    incarnation = n.incarnation() + 1;
+    rumours.add(own());
+  }
+
+  // ---- States ----
+
+  private void suspect(long now, Member m, String accuser) {
+    m.accuser = accuser;
+    turn(now, m, State.SUSPECT, m.incarnation);
+  }
+
+  private void turn(long now, Member m, State to, long itsIncarnation) {
+    boolean was = m.state.present();
+    boolean differs = m.state != to;
+    m.state = to;
+    m.incarnation = itsIncarnation;
+    m.since = differs ? now : m.since;
+    m.suspicion = to == State.SUSPECT ? new Suspicion(now, period, size(), m.accuser) : null;
+    m.accuser = to == State.SUSPECT || to == State.DEAD ? m.accuser : "";
+    present += (to.present() ? 1 : 0) - (was ? 1 : 0);
+    if (to.present() && !was && !order.contains(m)) {
+      order.add(next + random.nextInt(order.size() - next + 1), m);
+    }
+    rumours.add(m.news());
+    if (differs) {
+      out.changed(now, m.news());
+    }
+  }
+
+  // ---- What goes out ----
+
+  /** Tells some members that this one goes; from here on it neither asks nor answers. */
+  public void leave(long now) {
+    for (Member m : draw(2 * RELAYS, m -> m.state == State.ALIVE)) {
+      send(now, Use.PROBE, m.name(), m.address, new Message.Leave());
+    }
+    leaving = true;
+  }
+
+  /** Lets what rides on packets reach some others now, and not only with the next probes. */
+  public void tell(long now) {
+    if (!leaving) {
+      draw(RELAYS, m -> m.state == State.ALIVE)
+          .forEach(m -> send(now, Use.SYNC, m.name(), m.address, new Message.Tell()));
+    }
+  }
+
+  private News own() {
+    return new News(name, address, incarnation, State.ALIVE, "");
+  }
+
+  /** Sends where the cap leaves room; one that is suspected, or given up, is told so first: it may object. */
+  private boolean send(long now, Use use, String to, long at, Message message) {
+    int size = weights.message(to, message);
+    Member m = members.get(to);
+    News first = m != null && (m.state != State.ALIVE || message instanceof Message.Ack
+        && m.incarnation > 0 && m.heardAt == 0) ? m.news() : null;
+    int least = size + (first == null ? 0 : weights.news(first));
+    if (!meter.room(now, use, least)) {
+      return false;
+    }
+    int most = meter.fill(now, least, MOST_PACKET);
+    List<News> news = rumours.take(first, size(), most - size, weights);
+    int sent = out.send(now, to, at, message, news, most);
+    meter.sent(now, sent, sent - least);
+    return true;
+  }
+
+  private List<Member> draw(int count, java.util.function.Predicate<Member> wanted) {
+    List<Member> open = new ArrayList<>(members.values().stream().filter(wanted).toList());
+    List<Member> drawn = new ArrayList<>();
+    while (drawn.size() < count && !open.isEmpty()) {
+      int last = open.size() - 1;
+      Collections.swap(open, random.nextInt(last + 1), last);
+      drawn.add(open.remove(last));
+    }
+    return drawn;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/reachloom/membership/Rumours.java
@@ -0,0 +1,78 @@
+package reachloom.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * News on its way round, the latest of each member. Each piece goes out a bounded number of times; what has
+ * gone out least goes first, and of equals the newest. With the table full, the oldest yields.
+ */
+final class Rumours {
+  private static final int MOST = 1024; // members with news at one time
+  private static final double SPREAD = 3; // times that news goes out, for each doubling of the members
+
+  private static final class Rumour {
+    private final News news;
+    private final long number;
+    private int sent;
+
+    Rumour(News news, long number) {
+      this.news = news;
+      this.number = number;
+    }
+  }
+
+  private final Map<String, Rumour> rumours = new LinkedHashMap<>();
+  private long count;
+
+  /** Takes news that is to get round, in the place of older news of the same member. */
+  void add(News news) {
+    rumours.remove(news.member());
+    if (rumours.size() >= MOST) {
+      rumours.remove(rumours.keySet().iterator().next());
+    }
+    rumours.put(news.member(), new Rumour(news, count++));
+  }
+
+  /** News for one packet of no more than {@code room} bytes, the given piece first where there is one. */
+  List<News> take(News first, int members, int room, Weights weights) {
+    List<News> taken = new ArrayList<>();
+    int left = room;
+    if (first != null && weights.news(first) <= left) {
+      taken.add(first);
+      left -= weights.news(first);
+    }
+    if (rumours.isEmpty()) {
+      return taken;
+    }
+    int most = most(members);
+    List<Rumour> order = new ArrayList<>(rumours.values());
+    order.sort(Comparator.<Rumour>comparingInt(r -> r.sent).thenComparingLong(r -> -r.number));
+    for (Rumour r : order) {
+      int size = weights.news(r.news);
+      if (size > left) {
+        break;
+      }
+      if (first != null && r.news.member().equals(first.member())) {
+        continue;
+      }
+      taken.add(r.news);
+      left -= size;
+      if (++r.sent >= most) {
+        rumours.remove(r.news.member());
+      }
+    }
+    return taken;
+  }
+
+  static int most(int members) {
+    return (int) Math.ceil(SPREAD * (Math.log(members + 1) / Math.log(2)));
+  }
+
+  int size() {
+    return rumours.size();
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/reachloom/membership/Suspicion.java
@@ -0,0 +1,45 @@
+package reachloom.membership;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The time that a suspected member has to object. It starts long, and each further independent accuser
+ * shortens it, down to a least time that is enough for a refutation to get round (Lifeguard, section IV-B).
+ */
+final class Suspicion {
+  // periods for each decade of members, memberlist's usual figure
+  private static final double LEAST_FACTOR = 4;
+  private static final double MOST_FACTOR = 6; // ... and the longest time in least times
+  private static final int ACCUSERS = 2; // further accusers that shorten it to the least
+
+  private final Set<String> accusers = new LinkedHashSet<>();
+  private final long least;
+  private long startedAt;
+
+  Suspicion(long now, long period, int members, String accuser) {
+    startedAt = now;
+    least = (long) (LEAST_FACTOR * Math.max(1, Math.log10(Math.max(1, members))) * period);
+    accusers.add(accuser);
+  }
+
+  /** Takes one more accuser; true where it is a new one that counts, so that its word is passed on. */
+  boolean confirm(String accuser) {
+    return accusers.size() <= ACCUSERS && accusers.add(accuser);
+  }
+
+  /** Nothing of a standstill of this process counts against the member. */
+  void shift(long by) {
+    startedAt += by;
+  }
+
+  /** When its time is up. */
+  long until() {
+    double part = Math.log(accusers.size()) / Math.log(ACCUSERS + 1);
+    return startedAt + (long) (least * (MOST_FACTOR - (MOST_FACTOR - 1) * part));
+  }
+
+  long least() {
+    return least;
+  }
+}
--- a/decisions/src/main/java/reachloom/state/Engine.java
+++ b/decisions/src/main/java/reachloom/state/Engine.java
@@ -44,6 +44,9 @@
   public long coldFrom;
   public double coldPhase;
 
+  /** What other instances say against it, from 0 to 1. */
+  public double hearsay;
+
   public Report report;
   public long reportAt;
   public boolean probing;
--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -636,6 +636,40 @@
     assertFalse(b.take().stream().anyMatch(x -> x.endsWith(" " + full)));
   }
 
+  @Test
+  void hearsayMakesAnEngineDrawnLessAndTestedOneByOneButNeverRestsIt() {
+    Bench b = new Bench().start(Bench.up("a"), Bench.up("b"));
+    b.choice.hearsay(b.now, "a", 0.9);
+    for (int i = 0; i < 3; i++) {
+      b.arrive("q" + i, Bench.QUICK, 0.2);
+    }
+    assertEquals(List.of("send q0 b", "send q1 b", "send q2 b"), b.take());
+    b.list(Bench.up("a"), Bench.engine("b", EngineState.DRAINING, 0, 0));
+    b.arrive("alone", Bench.QUICK, 0.2);
+    assertEquals(List.of("send alone a"), b.take(), "the last one left is used all the same");
+    b.arrive("second", Bench.QUICK, 0.2);
+    assertEquals(List.of(), b.take(), "one at a time");
+    b.served("alone", "a", 0.2);
+    assertEquals(List.of("send second a"), b.take());
+    b.choice.hearsay(b.now, "a", 0);
+    b.arrive("third", Bench.QUICK, 0.2);
+    assertEquals(List.of("send third a"), b.take());
+    b.choice.hearsay(b.now, "nobody", 1);
+  }
+
+  @Test
+  void anAccusedEngineIsProbedWhereEnginesReport() {
+    Bench b = new Bench();
+    b.reports = true;
+    b.start(Bench.up("a"), Bench.up("b"));
+    b.arrive("q", Bench.QUICK, 0.2); // a probe costs, and is paid for by queries
+    b.take();
+    b.choice.hearsay(b.now, "a", 0.4);
+    assertEquals(List.of(), b.take());
+    b.choice.hearsay(b.now, "a", 0.6);
+    assertEquals(List.of("probe a"), b.take());
+  }
+
   @Test
   void sameEventsSameActions() {
     List<String> first = script();
--- /dev/null
+++ b/decisions/src/test/java/reachloom/evidence/CorroborationTest.java
@@ -0,0 +1,211 @@
+package reachloom.evidence;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import reachloom.evidence.Corroboration.Belief;
+import reachloom.evidence.Ledger.Seen;
+
+/** What others say is weighed, and own evidence goes before it. */
+class CorroborationTest {
+  private static final long SECOND = 1_000_000_000;
+  private static final int ENGINES = 12;
+
+  private final Ledger own = new Ledger();
+  private final Corroboration others = new Corroboration(own);
+  private final Map<String, Long> engines = new LinkedHashMap<>();
+  private long now = 1_000 * SECOND;
+
+  CorroborationTest() {
+    for (int i = 0; i < ENGINES; i++) {
+      engines.put("e" + i, 0L);
+    }
+  }
+
+  private void claim(String peer, String engine, int served, int lost) {
+    others.hear(now, peer, List.of(new Claim(engine, 0, served, 0, lost, 0)));
+  }
+
+  private double level(String engine) {
+    return others.review(now, engines).stream().filter(b -> b.engine().equals(engine))
+        .mapToDouble(Belief::level).findFirst().orElse(0);
+  }
+
+  private void seeGood(String engine) {
+    for (int i = 0; i < 4; i++) {
+      own.note(now, engine, 0, Seen.SERVED);
+    }
+  }
+
+  /** Peers accuse an engine that is seen to be well, some seconds long. */
+  private void slander(String engine, int seconds, String... peers) {
+    for (int i = 0; i < seconds; i++) {
+      now += SECOND;
+      seeGood(engine);
+      for (String p : peers) {
+        claim(p, engine, 0, 5);
+      }
+      others.review(now, engines);
+    }
+  }
+
+  @Test
+  void onePeerAloneNeverBringsAnEngineToBeAccused() {
+    for (int i = 0; i < 20; i++) {
+      now += SECOND;
+      claim("p", "e1", 0, 1_000);
+      assertTrue(level("e1") < Corroboration.ACCUSED);
+    }
+    assertTrue(level("e1") > 0, "but it is heard");
+  }
+
+  @Test
+  void twoThatSawItIndependentlyDo() {
+    claim("p", "e1", 0, 5);
+    claim("q", "e1", 0, 4);
+    assertTrue(level("e1") >= Corroboration.ACCUSED);
+    assertEquals(List.of("p", "q"), others.review(now, engines).get(0).accusers());
+  }
+
+  @Test
+  void vouchersSpeakAgainstAccusers() {
+    claim("p", "e1", 0, 5);
+    claim("q", "e1", 0, 4);
+    double accused = level("e1");
+    for (String v : new String[] {"r", "s", "t", "u"}) {
+      claim(v, "e1", 20, 0);
+    }
+    assertTrue(level("e1") < Corroboration.ACCUSED && level("e1") < accused);
+  }
+
+  @Test
+  void ownFreshEvidenceGoesBeforeAllOfThem() {
+    for (int i = 0; i < 30; i++) {
+      claim("p" + i, "e1", 0, 50);
+    }
+    assertTrue(level("e1") >= Corroboration.ACCUSED);
+    seeGood("e1");
+    assertEquals(0, level("e1"));
+    now += 4 * SECOND; // what was seen is no longer fresh
+    for (int i = 30; i < 40; i++) {
+      claim("p" + i, "e1", 0, 50);
+    }
+    assertTrue(level("e1") >= Corroboration.ACCUSED);
+  }
+
+  @Test
+  void aPeerThatIsContradictedLosesItsStandingAndRegainsItSlowly() {
+    slander("e1", 10, "liar");
+    assertTrue(others.standing("liar") < 0.05, others.standing("liar") + "");
+    assertTrue(others.contradicted("liar") >= 8);
+    now += 10 * SECOND;
+    level("e1");
+    assertTrue(others.standing("liar") < 0.1);
+    for (int i = 0; i < 1_000; i++) {
+      now += SECOND;
+      level("e1");
+    }
+    assertTrue(others.standing("liar") > 0.4);
+  }
+
+  @Test
+  void whatIsBorneOutRaisesStanding() {
+    for (int i = 0; i < 10; i++) {
+      now += SECOND;
+      own.note(now, "e1", 0, Seen.LOST);
+      own.note(now, "e1", 0, Seen.LOST);
+      claim("p", "e1", 0, 3);
+      level("e1");
+    }
+    assertTrue(others.standing("p") > 0.7);
+  }
+
+  @Test
+  void liarsThatAgreeCountAsOneOnceTheyHaveBeenFoundOut() {
+    slander("e1", 2, "x", "y", "z");
+    now += SECOND;
+    for (String p : new String[] {"x", "y", "z"}) {
+      claim(p, "e2", 0, 50); // another engine, of which nothing is seen here
+    }
+    assertTrue(level("e2") < Corroboration.ACCUSED, level("e2") + "");
+    claim("a", "e2", 0, 5);
+    claim("b", "e2", 0, 5);
+    assertTrue(level("e2") >= Corroboration.ACCUSED, "two honest ones still count");
+  }
+
+  @Test
+  void aSickEngineThatALiarPraisesIsStillAccusedByTwo() {
+    claim("p", "e1", 0, 5);
+    claim("q", "e1", 0, 5);
+    claim("liar", "e1", 1_000, 0);
+    assertTrue(level("e1") >= Corroboration.ACCUSED);
+  }
+
+  @Test
+  void noMoreThanAPartOfTheEnginesIsAccusedAtATime() {
+    for (String e : engines.keySet()) {
+      claim("x", e, 0, 50);
+      claim("y", e, 0, 50);
+      claim("z", e, 0, 50);
+    }
+    long accused = others.review(now, engines).stream().filter(b -> b.level() >= Corroboration.ACCUSED)
+        .count();
+    assertEquals(ENGINES / 4, accused);
+  }
+
+  @Test
+  void anotherProcessAtTheSamePlaceInheritsNothing() {
+    claim("p", "e1", 0, 5);
+    claim("q", "e1", 0, 5);
+    engines.put("e1", 77L);
+    assertEquals(0, level("e1"));
+    own.note(now, "e1", 77, Seen.SERVED);
+    own.note(now, "e1", 0, Seen.LOST); // an attempt at the old one ends late
+    assertEquals(new Claim("e1", 77, 1, 0, 0, 0), own.seen(now, "e1", 77, 3));
+  }
+
+  @Test
+  void claimsGrowOldAndWhoIsGoneTakesHisWithHim() {
+    claim("p", "e1", 0, 5);
+    claim("q", "e1", 0, 5);
+    others.gone("q");
+    assertTrue(level("e1") < Corroboration.ACCUSED);
+    now += 21 * SECOND;
+    assertEquals(0, level("e1"));
+  }
+
+  @Test
+  void nonsenseInClaimsIsLeftOut() {
+    others.hear(now, "p", List.of(new Claim("e1", 0, -5, 3, 1, 0), new Claim("e1", 0, 0, 0, 5, -1),
+        new Claim("e1", 0, 0, 0, 5, Long.MAX_VALUE)));
+    assertEquals(0, level("e1"));
+  }
+
+  @Test
+  void theLedgerTellsOfTroubleFirstAndThenInTurn() {
+    for (int i = 0; i < 6; i++) {
+      own.note(now, "e" + i, 0, Seen.SERVED);
+    }
+    own.note(now, "e4", 0, Seen.FAILED);
+    assertEquals("e4", own.tell(now, 2).get(0).engine());
+    now += SECOND;
+    List<Claim> next = own.tell(now, 3);
+    assertEquals("e4", next.get(0).engine());
+    assertEquals("e1", next.get(1).engine(), "e0 was told before");
+    now += 11 * SECOND;
+    assertEquals(List.of(), own.tell(now, 5), "the span is over");
+    own.note(now, "e0", 0, Seen.SERVED);
+    own.note(now, "e0", 0, Seen.LOST);
+    own.note(now, "e0", 0, Seen.LOST);
+    assertEquals(new Claim("e0", 0, 0, 0, 2, 0), own.tell(now, 1).get(0),
+        "what it served before hides nothing");
+    now += 15 * SECOND;
+    assertEquals(2, own.tell(now, 1).get(0).lost(), "nobody has seen better since");
+    own.note(now, "e0", 0, Seen.SERVED);
+    assertEquals(1, own.tell(now, 1).get(0).served());
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/reachloom/gossip/GuardTest.java
@@ -0,0 +1,73 @@
+package reachloom.gossip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** What is refused before a signature is looked at. */
+class GuardTest {
+  private static final long SECOND = 1_000_000_000;
+
+  private final Guard guard = new Guard();
+  private long now = 1_000 * SECOND;
+
+  private Refusal admit(long source, boolean member, long time, long seq) {
+    return guard.admit(now, source, member, true, false, "p", time, seq);
+  }
+
+  @Test
+  void clocksTenSecondsApartAreBorneAnHourIsNot() {
+    assertNull(admit(1, true, now - 10 * SECOND, 1));
+    assertNull(admit(1, true, now + 10 * SECOND, 2));
+    assertEquals(Refusal.TIME, admit(1, true, now - 3_600 * SECOND, 3));
+    assertEquals(Refusal.TIME, admit(1, true, now + 3_600 * SECOND, 4));
+    assertEquals(2L, guard.refused().get(Refusal.TIME));
+  }
+
+  @Test
+  void aNumberIsTakenOnceAlsoOutOfOrder() {
+    assertTrue(guard.take("p", 100));
+    assertTrue(guard.take("p", 103));
+    assertTrue(guard.take("p", 101));
+    assertEquals(Refusal.REPLAYED, admit(1, true, now, 101));
+    assertEquals(Refusal.REPLAYED, admit(1, true, now, 103));
+    assertNull(admit(1, true, now, 102));
+    assertFalse(guard.take("p", 100));
+    assertTrue(guard.take("p", 10_000));
+    assertEquals(Refusal.REPLAYED, admit(1, true, now, 102), "too far behind to be known");
+    assertNull(admit(1, true, now, 10_001));
+    assertTrue(guard.take("q", 100), "another sender counts for itself");
+  }
+
+  @Test
+  void aFloodFromStrangersLeavesMembersAlone() {
+    int strangers = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += SECOND / 20_000;
+      strangers += guard.admit(now, i, false, true, false, "p", now, i) == null ? 1 : 0;
+      if (i % 1_000 == 0) {
+        assertNull(guard.admit(now, 1_000_000, true, true, false, "m", now, i));
+      }
+    }
+    assertTrue(strangers <= 101, strangers + " signatures to check in a second");
+  }
+
+  @Test
+  void oneMembersFloodIsItsOwn() {
+    int taken = 0;
+    for (int i = 0; i < 1_000; i++) {
+      taken += admit(5, true, now, i) == null ? 1 : 0;
+    }
+    assertTrue(taken <= 20, taken + "");
+    assertNull(guard.admit(now, 6, true, true, false, "q", now, 1));
+  }
+
+  @Test
+  void whoIsNotKnownHasToBringItsCertificate() {
+    assertEquals(Refusal.UNKNOWN, guard.admit(now, 1, false, false, false, "p", now, 1));
+    assertNull(guard.admit(now, 1, false, false, true, "p", now, 1));
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/reachloom/membership/MembershipTest.java
@@ -0,0 +1,329 @@
+package reachloom.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One instance, told event by event what the others say; no network. */
+class MembershipTest {
+  private static final long SECOND = 1_000_000_000;
+  private static final long START = 1_000_000 * SECOND;
+  private static final int CAP = 65_536;
+
+  private record Sent(long at, String to, long address, Message message, List<News> news) {
+  }
+
+  private final List<Sent> sent = new ArrayList<>();
+  private final List<News> changes = new ArrayList<>();
+  private long now = START;
+  private Membership me;
+
+  private final class Out implements Outbox {
+    @Override
+    public int send(long at, String to, long address, Message message, List<News> news, int most) {
+      sent.add(new Sent(at, to, address, message, news));
+      return 100 + 30 * news.size();
+    }
+
+    @Override
+    public void changed(long at, News member) {
+      changes.add(member);
+    }
+  }
+
+  private static final Weights WEIGHTS = new Weights() {
+    @Override
+    public int message(String to, Message message) {
+      return 100;
+    }
+
+    @Override
+    public int news(News news) {
+      return 30;
+    }
+  };
+
+  @BeforeEach
+  void start() {
+    me = instance(CAP, List.of());
+  }
+
+  private Membership instance(int cap, List<Long> seeds) {
+    return new Membership("me", 1, seeds, now, SECOND, cap, new SplittableRandom(1), new Out(), WEIGHTS);
+  }
+
+  private void pass(long time) {
+    for (long until = now + time; now < until;) {
+      now += SECOND / 10;
+      me.tick(now);
+    }
+  }
+
+  private void hear(String from, Message message, News... news) {
+    me.receive(now, from, address(from), START / SECOND, message, List.of(news));
+  }
+
+  private static long address(String name) {
+    return 100 + name.hashCode() % 50;
+  }
+
+  private static News news(String of, long incarnation, State state, String by) {
+    return new News(of, address(of), START / SECOND + incarnation, state, by);
+  }
+
+  private State state(String of) {
+    Member m = me.member(of);
+    return m == null ? null : m.state();
+  }
+
+  private void join(String... names) {
+    for (String n : names) {
+      hear(n, new Message.Ack(-1));
+    }
+  }
+
+  /** Answers pings that have gone out to members, but for those named. */
+  private void passAnswering(long time, String... silent) {
+    for (long until = now + time; now < until;) {
+      int from = sent.size();
+      pass(SECOND / 10);
+      for (Sent s : List.copyOf(sent.subList(from, sent.size()))) {
+        if (s.message() instanceof Message.Ping p && !List.of(silent).contains(s.to())) {
+          hear(s.to(), new Message.Ack(p.seq()));
+        }
+      }
+    }
+  }
+
+  @Test
+  void aPacketOfItsOwnMakesAMember() {
+    join("a");
+    assertEquals(State.ALIVE, state("a"));
+    assertEquals(2, me.size());
+    assertEquals("a", changes.get(0).member());
+  }
+
+  @Test
+  void whoDoesNotAnswerIsAskedThroughOthersThenSuspectedThenDead() {
+    join("a", "b", "c", "d", "e");
+    passAnswering(30 * SECOND, "e");
+    assertTrue(sent.stream()
+        .filter(s -> s.message() instanceof Message.PingRequest r && r.target().equals("e"))
+        .map(Sent::to).distinct().count() >= 3, "three others were asked");
+    assertTrue(changes.stream().anyMatch(n -> n.member().equals("e") && n.state() == State.SUSPECT));
+    passAnswering(30 * SECOND, "e");
+    assertEquals(State.DEAD, state("e"));
+    assertEquals(List.of("a", "b", "c", "d"), me.members().stream().filter(m -> m.state() == State.ALIVE)
+        .map(Member::name).toList());
+    assertEquals(5, me.size());
+  }
+
+  @Test
+  void eachIsProbedWithinTwoRounds() {
+    join("a", "b", "c", "d", "e", "f", "g", "h");
+    passAnswering(16 * SECOND);
+    sent.clear();
+    passAnswering(15 * SECOND); // 2n - 1 periods, as SWIM has it
+    assertEquals(8, sent.stream().filter(s -> s.message() instanceof Message.Ping).map(Sent::to).distinct()
+        .count());
+  }
+
+  @Test
+  void oneVoiceAboutADeathIsAnAccusationOnly() {
+    join("a", "b", "liar");
+    hear("liar", new Message.Ack(-1), news("a", 0, State.DEAD, "liar"));
+    assertEquals(State.SUSPECT, state("a"));
+    hear("liar", new Message.Ack(-1), news("b", 0, State.LEFT, ""));
+    assertEquals(State.SUSPECT, state("b"), "nor is a farewell taken from a third one");
+    pass(SECOND);
+    hear("a", new Message.Ack(-1), news("a", 1, State.ALIVE, ""));
+    me.receive(now, "a", address("a"), START / SECOND + 1, new Message.Ack(-1), List.of());
+    assertEquals(State.ALIVE, state("a"), "it has objected");
+  }
+
+  @Test
+  void eachFurtherAccuserShortensTheTimeToObject() {
+    join("a", "b", "c", "d");
+    hear("b", new Message.Ack(-1), news("a", 0, State.SUSPECT, "b"));
+    Suspicion one = new Suspicion(now, SECOND, 5, "b");
+    long alone = one.until() - now;
+    assertTrue(one.confirm("c"));
+    assertFalse(one.confirm("c"), "the same voice twice");
+    long two = one.until() - now;
+    assertTrue(one.confirm("d"));
+    assertFalse(one.confirm("e"), "more change nothing, and are not passed on");
+    long three = one.until() - now;
+    assertTrue(alone > two && two > three, alone + " " + two + " " + three);
+    assertEquals(one.least(), three);
+    assertEquals(6 * three, alone);
+  }
+
+  @Test
+  void whoIsAccusedObjectsInAHigherIncarnationAndLooksToItself() {
+    join("a");
+    long before = me.incarnation();
+    hear("a", new Message.Ack(-1), new News("me", 1, before, State.SUSPECT, "a"));
+    assertEquals(before + 1, me.incarnation());
+    assertEquals(1, me.health());
+    hear("a", new Message.Ping(7, "me"));
+    assertTrue(last().news().contains(new News("me", 1, before + 1, State.ALIVE, "")));
+    hear("a", new Message.Ack(-1), new News("me", 1, before, State.DEAD, "a"));
+    assertEquals(before + 1, me.incarnation(), "that was answered");
+    hear("a", new Message.Ack(-1), new News("me", 99, before + 1, State.ALIVE, ""));
+    assertEquals(before + 2, me.incarnation(), "somebody has it elsewhere");
+  }
+
+  private Sent last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  @Test
+  void noIncarnationFromTheFutureLeavesNoNumberToObjectWith() {
+    join("a", "b");
+    hear("b", new Message.Ack(-1), new News("a", 5, Long.MAX_VALUE, State.SUSPECT, "b"));
+    assertEquals(State.ALIVE, state("a"));
+    long before = me.incarnation();
+    hear("b", new Message.Ack(-1), new News("me", 5, Long.MAX_VALUE, State.DEAD, "b"));
+    assertEquals(before, me.incarnation());
+  }
+
+  @Test
+  void hearsayOfAnAddressYieldsToThePacketsOfItsOwn() {
+    hear("liar", new Message.Ack(-1), new News("a", 666, START / SECOND, State.ALIVE, ""));
+    assertEquals(666, me.member("a").address());
+    join("a");
+    assertEquals(address("a"), me.member("a").address());
+    hear("liar", new Message.Ack(-1), new News("a", 666, START / SECOND, State.ALIVE, ""));
+    assertEquals(address("a"), me.member("a").address());
+  }
+
+  @Test
+  void aRestartUnderAnOldIncarnationIsToldSoAndComesBack() {
+    join("a", "b");
+    hear("b", new Message.Ack(-1), news("a", 9, State.ALIVE, ""));
+    hear("a", new Message.Ping(3, "me"));
+    hear("b", new Message.Ack(-1), news("a", 9, State.SUSPECT, "b"));
+    sent.clear();
+    hear("a", new Message.Ping(4, "me"));
+    assertEquals(State.SUSPECT, last().news().get(0).state(), "first of all it hears that it is suspected");
+    assertEquals(START / SECOND + 9, last().news().get(0).incarnation());
+    me.receive(now, "a", address("a"), START / SECOND + 10, new Message.Ack(-1), List.of());
+    assertEquals(State.ALIVE, state("a"));
+  }
+
+  @Test
+  void aFarewellOfItsOwnIsTakenAtOnceAndAnOldMessageDoesNotBringItBack() {
+    join("a", "b");
+    me.receive(now, "a", address("a"), START / SECOND, new Message.Leave(), List.of());
+    assertEquals(State.LEFT, state("a"));
+    hear("b", new Message.Ack(-1), news("a", 0, State.ALIVE, ""));
+    assertEquals(State.LEFT, state("a"));
+    passAnswering(700 * SECOND, "a");
+    assertNull(me.member("a"), "forgotten in the end");
+  }
+
+  @Test
+  void aStandstillBlamesNobodyElse() {
+    join("a", "b", "c");
+    pass(16 * SECOND);
+    hear("b", new Message.Ack(-1), news("a", 0, State.SUSPECT, "b"));
+    now += 20 * SECOND; // longer than any time to object
+    me.tick(now);
+    assertEquals(State.SUSPECT, state("a"), "what was said meanwhile waits on the socket");
+    assertTrue(me.health() > 0);
+    assertEquals(State.ALIVE, state("c"));
+  }
+
+  @Test
+  void aRelayPassesTheQuestionAndTheAnswerOrItsNo() {
+    join("a", "b", "c");
+    sent.clear();
+    hear("a", new Message.PingRequest(42, "c", address("c")));
+    Message.Ping asked = (Message.Ping) last().message();
+    assertEquals("c", last().to());
+    hear("c", new Message.Ack(asked.seq()));
+    assertEquals(new Message.Ack(42), last().message());
+    assertEquals("a", last().to());
+    hear("b", new Message.PingRequest(43, "c", address("c")));
+    for (int i = 0; i < 4; i++) {
+      pass(SECOND / 10);
+    }
+    assertTrue(sent.stream().anyMatch(s -> s.to().equals("b") && s.message().equals(new Message.Nack(43))));
+  }
+
+  @Test
+  void withoutRoomForTheQuestionNobodyIsBlamed() {
+    me = instance(90, List.of()); // not one packet fits
+    join("a", "b", "c");
+    pass(100 * SECOND);
+    assertEquals(0, sent.size());
+    assertEquals(4, me.size());
+    assertEquals(State.ALIVE, state("a"));
+  }
+
+  @Test
+  void theCapHoldsInAnySecondWhateverIsAsked() {
+    me = instance(2_000, List.of());
+    long most = 0;
+    for (int i = 0; i < 600; i++) {
+      for (int k = 0; k < 20; k++) {
+        hear("m" + i % 50 + "x" + k, new Message.Ping(i, "me"));
+        hear("m" + i % 50 + "x" + k, new Message.Pull("", "", 1, List.of()));
+      }
+      passAnswering(SECOND / 10);
+      long from = now - SECOND;
+      most = Math.max(most, sent.stream().filter(s -> s.at() > from)
+          .mapToLong(s -> 100 + 30 * s.news().size()).sum());
+    }
+    assertTrue(most <= 2_000, most + " bytes");
+    assertTrue(sent.stream().filter(s -> s.message() instanceof Message.Ping).count() > 30,
+        "the failure detector still works");
+  }
+
+  @Test
+  void whoIsAloneAsksItsSeedsAndWhoIsAskedSoTellsOfOthers() {
+    me = instance(CAP, List.of(77L));
+    pass(10 * SECOND);
+    assertTrue(sent.stream().allMatch(s -> s.address() == 77 && s.message().equals(
+        new Message.Ping(((Message.Ping) s.message()).seq(), ""))));
+    assertTrue(sent.size() >= 3);
+    join("a", "b", "c");
+    hear("new", new Message.Ping(1, ""));
+    Message.Part welcome = (Message.Part) last().message();
+    assertEquals(3, welcome.held().size());
+    assertTrue(welcome.more());
+  }
+
+  @Test
+  void tablesAreComparedByMarksAndOnlyTheDifferenceIsTold() {
+    join("a", "b", "c");
+    List<Integer> marks = me.members().stream().filter(m -> !m.name().equals("b")).map(m -> Marks.of(5, m))
+        .toList();
+    hear("a", new Message.Pull("", "", 5, marks));
+    Message.Part part = (Message.Part) last().message();
+    assertEquals(List.of("b"), part.held().stream().map(News::member).toList());
+    assertFalse(part.more());
+  }
+
+  @Test
+  void theSameEventsGiveTheSamePackets() {
+    List<Sent> first = script();
+    assertEquals(first, script());
+  }
+
+  private List<Sent> script() {
+    now = START;
+    sent.clear();
+    me = instance(4_096, List.of(7L, 8L));
+    join("a", "b", "c", "d");
+    passAnswering(40 * SECOND, "c");
+    return List.copyOf(sent);
+  }
+}
--- a/gateway/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/FrontsTest.java
@@ -108,6 +108,11 @@
       told.add("wake " + token);
     }
 
+    @Override
+    public void hearsay(long now, String engine, double level) {
+      told.add("hearsay " + engine + " " + level);
+    }
+
     @Override
     public void probed(long now, String engine, boolean answered, Report report) {
       told.add(List.of(engine, answered, report));
