Gossip's datagrams, the laboratory with its first run, and gossip in simulated time

Need: figures of gossip at sizes that sockets can't hold, and something that shows a newcomer the main job.

Change: reachloom.gossip.wire writes and reads datagrams of at most 1,200 bytes; sections and fields of later versions are skipped. lab/ holds reachloom-lab.jar: demo starts a gateway, six engines, a change log and clients on loopback and lets one engine hang; gossip plays the real modules and the real codec under a simulated clock and network, with crashes, loss, slow instances, joins, liars and sick engines, beside the same arrivals with gossip off. The engine stand-in can be slow and can hang.

--- /dev/null
+++ b/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
@@ -0,0 +1,352 @@
+package reachloom.gossip.wire;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32C;
+import reachloom.evidence.Claim;
+import reachloom.gossip.Packet;
+import reachloom.gossip.Refusal;
+import reachloom.membership.Message;
+import reachloom.membership.News;
+import reachloom.membership.State;
+
+/**
+ * Gossip as bytes, big-endian, at most {@link #MOST} of them:
+ *
+ * <pre>
+ * datagram = "RG" version:1 flags:1 cluster:4 sender:text seq:8 time:8 address:6 incarnation:8
+ *            [certificate: length:2 bytes]  section*  signature:64
+ * section  = kind:1 length:2 bytes          kind 1 message, 2 news, 3 claims; others are skipped
+ * news, claims = (length:1 bytes)*          what follows the known fields of one is skipped
+ * text     = length:1 UTF-8
+ * </pre>
+ *
+ * <p>The signature is over all that stands before it. A version differs where old readers can't go on;
+ * whatever can be skipped comes without one.
+ */
+public final class GossipCodec {
+  /** The largest datagram, in bytes. */
+  public static final int MOST = 1_200;
+  /** Bytes of an Ed25519 signature (RFC 8032). */
+  public static final int SIGNATURE = 64;
+  /** Bytes of IPv4 and UDP headers, which count as traffic too. */
+  public static final int UDP = 28;
+
+  private static final int VERSION = 1;
+  private static final int CERTIFIED = 1;
+  private static final int KNOWS_YOU = 2;
+  private static final int MAGIC = 'R' << 8 | 'G';
+  private static final int FIXED = 2 + 1 + 1 + 4 + 8 + 8 + 6 + 8;
+  private static final int SECTION = 3;
+  private static final byte MESSAGE = 1;
+  private static final byte NEWS = 2;
+  private static final byte CLAIMS = 3;
+  private static final int MOST_NAME = 32;
+  private static final int MOST_COUNT = 0xffff;
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+
+  /** Bytes that can't be read, with the reason as it is counted. */
+  public static final class UnreadableException extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final transient Refusal why;
+
+    UnreadableException(Refusal why) {
+      super(why.name(), null, false, false); // a value, not a place in the program
+      this.why = why;
+    }
+
+    public Refusal why() {
+      return why;
+    }
+  }
+
+  private GossipCodec() {
+  }
+
+  /** The number that stands for a cluster's name on the wire. */
+  public static int cluster(String name) {
+    CRC32C sum = new CRC32C();
+    sum.update(name.getBytes(StandardCharsets.UTF_8));
+    return (int) sum.getValue();
+  }
+
+  // ---- Weights ----
+
+  /**
+   * A datagram with that message and nothing else; {@code certificate} is the length of one brought along.
+   */
+  public static int size(String sender, Message message, int certificate) {
+    return UDP + FIXED + text(sender) + (certificate > 0 ? 2 + certificate : 0) + SECTION + body(message)
+        + 2 * SECTION + SIGNATURE;
+  }
+
+  private static int body(Message m) {
+    if (m instanceof Message.Ping p) {
+      return 9 + text(p.target());
+    } else if (m instanceof Message.PingRequest r) {
+      return 9 + text(r.target()) + 6;
+    } else if (m instanceof Message.Pull p) {
+      return 1 + text(p.after()) + text(p.last()) + 4 + 2 * p.marks().size();
+    } else if (m instanceof Message.Part p) {
+      return 2 + p.held().stream().mapToInt(GossipCodec::size).sum();
+    }
+    return m instanceof Message.Leave || m instanceof Message.Tell ? 1 : 9;
+  }
+
+  /** One piece of news. */
+  public static int size(News n) {
+    return 1 + text(n.member()) + 6 + 8 + 1 + text(n.by());
+  }
+
+  /** One claim. */
+  public static int size(Claim c) {
+    return 1 + text(c.engine()) + 8 + 6 + 4;
+  }
+
+  private static int text(String text) {
+    return 1 + text.getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  // ---- Out ----
+
+  /**
+   * All that is signed; {@code certificate} null brings none, and {@code knowsYou} tells the receiver that
+   * its own is held here.
+   */
+  public static byte[] write(int cluster, Packet p, long seq, long time, byte[] certificate,
+      boolean knowsYou) {
+    ByteBuffer out = ByteBuffer.allocate(2 * MOST);
+    out.putShort((short) MAGIC).put((byte) VERSION)
+        .put((byte) ((certificate == null ? 0 : CERTIFIED) | (knowsYou ? KNOWS_YOU : 0)));
+    out.putInt(cluster);
+    put(out, p.sender());
+    out.putLong(seq).putLong(time);
+    putAddress(out, p.address());
+    out.putLong(p.incarnation());
+    if (certificate != null) {
+      out.putShort((short) certificate.length).put(certificate);
+    }
+    int at = begin(out, MESSAGE);
+    putMessage(out, p.message());
+    end(out, at);
+    at = begin(out, NEWS);
+    p.news().forEach(n -> putNews(out, n));
+    end(out, at);
+    at = begin(out, CLAIMS);
+    p.claims().forEach(c -> putClaim(out, c));
+    end(out, at);
+    return Arrays.copyOf(out.array(), out.position());
+  }
+
+  private static int begin(ByteBuffer out, byte kind) {
+    out.put(kind).putShort((short) 0);
+    return out.position();
+  }
+
+  private static void end(ByteBuffer out, int from) {
+    out.putShort(from - 2, (short) (out.position() - from));
+  }
+
+  private static void put(ByteBuffer out, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    out.put((byte) bytes.length).put(bytes);
+  }
+
+  private static void putAddress(ByteBuffer out, long address) {
+    out.putShort((short) (address >>> 32)).putInt((int) address);
+  }
+
+  private static void putMessage(ByteBuffer out, Message m) {
+    if (m instanceof Message.Ping p) {
+      put(out.put((byte) 1).putLong(p.seq()), p.target());
+    } else if (m instanceof Message.Ack a) {
+      out.put((byte) 2).putLong(a.seq());
+    } else if (m instanceof Message.PingRequest r) {
+      put(out.put((byte) 3).putLong(r.seq()), r.target());
+      putAddress(out, r.address());
+    } else if (m instanceof Message.Nack n) {
+      out.put((byte) 4).putLong(n.seq());
+    } else if (m instanceof Message.Pull p) {
+      put(out.put((byte) 5), p.after());
+      put(out, p.last());
+      out.putInt(p.salt());
+      p.marks().forEach(k -> out.putShort(k.shortValue()));
+    } else if (m instanceof Message.Part p) {
+      out.put((byte) 6).put((byte) (p.more() ? 1 : 0));
+      p.held().forEach(n -> putNews(out, n));
+    } else if (m instanceof Message.Leave) {
+      out.put((byte) 7);
+    } else if (m instanceof Message.Tell) {
+      out.put((byte) 8);
+    }
+  }
+
+  private static void putNews(ByteBuffer out, News n) {
+    out.put((byte) (size(n) - 1));
+    put(out, n.member());
+    putAddress(out, n.address());
+    out.putLong(n.incarnation()).put((byte) n.state().ordinal());
+    put(out, n.by());
+  }
+
+  private static void putClaim(ByteBuffer out, Claim c) {
+    out.put((byte) (size(c) - 1));
+    put(out, c.engine());
+    out.putLong(c.since()).putShort(count(c.served())).putShort(count(c.failed())).putShort(count(c.lost()))
+        .putInt((int) Math.min(Integer.MAX_VALUE, c.age() / MILLISECOND));
+  }
+
+  private static short count(int value) {
+    return (short) Math.min(MOST_COUNT, value);
+  }
+
+  // ---- In ----
+
+  /** Reads what stands before the content: nothing of it is proved yet. */
+  public static Head head(byte[] bytes) throws UnreadableException {
+    if (bytes.length > MOST || bytes.length < FIXED + 2 + SIGNATURE) {
+      throw new UnreadableException(Refusal.FORM);
+    }
+    try {
+      ByteBuffer in = ByteBuffer.wrap(bytes, 0, bytes.length - SIGNATURE);
+      if (in.getShort() != (short) MAGIC) {
+        throw new UnreadableException(Refusal.FORM);
+      }
+      if (in.get() != VERSION) {
+        throw new UnreadableException(Refusal.VERSION);
+      }
+      int flags = in.get();
+      int cluster = in.getInt();
+      String sender = name(in);
+      long seq = in.getLong();
+      long time = in.getLong();
+      long address = address(in);
+      long incarnation = in.getLong();
+      byte[] certificate = null;
+      if ((flags & CERTIFIED) != 0) {
+        certificate = new byte[Short.toUnsignedInt(in.getShort())];
+        in.get(certificate);
+      }
+      if (sender.isEmpty()) {
+        throw new UnreadableException(Refusal.FORM);
+      }
+      return new Head(cluster, sender, seq, time, address, incarnation, certificate,
+          (flags & KNOWS_YOU) != 0, in.position(), in.limit());
+    } catch (BufferUnderflowException e) {
+      throw new UnreadableException(Refusal.FORM);
+    }
+  }
+
+  /** Reads the content, once the signature holds: what can't be read then is nonsense, whoever signed it. */
+  public static Packet read(byte[] bytes, Head head) throws UnreadableException {
+    try {
+      ByteBuffer in = ByteBuffer.wrap(bytes, head.content(), head.end() - head.content());
+      Message message = null;
+      List<News> news = new ArrayList<>();
+      List<Claim> claims = new ArrayList<>();
+      while (in.hasRemaining()) {
+        byte kind = in.get();
+        ByteBuffer section = take(in, Short.toUnsignedInt(in.getShort()));
+        switch (kind) {
+          case MESSAGE -> message = message(section);
+          case NEWS -> news.addAll(news(section));
+          case CLAIMS -> claims.addAll(claims(section));
+          default -> { } // of a later version
+        }
+      }
+      if (message == null) {
+        throw new UnreadableException(Refusal.NONSENSE);
+      }
+      return new Packet(head.sender(), head.address(), head.incarnation(), message, news, claims);
+    } catch (BufferUnderflowException | IllegalArgumentException e) {
+      throw new UnreadableException(Refusal.NONSENSE);
+    }
+  }
+
+  private static ByteBuffer take(ByteBuffer in, int length) {
+    if (length > in.remaining()) {
+      throw new BufferUnderflowException();
+    }
+    ByteBuffer part = in.slice(in.position(), length);
+    in.position(in.position() + length);
+    return part;
+  }
+
+  private static String text(ByteBuffer in) {
+    int length = Byte.toUnsignedInt(in.get());
+    if (length > MOST_NAME) {
+      throw new BufferUnderflowException();
+    }
+    byte[] bytes = new byte[length];
+    in.get(bytes);
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+
+  /** A name goes into tables and log lines: printable ASCII without blanks, or it is no name. */
+  private static String name(ByteBuffer in) {
+    String name = text(in);
+    if (!name.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+      throw new BufferUnderflowException();
+    }
+    return name;
+  }
+
+  private static long address(ByteBuffer in) {
+    long high = Short.toUnsignedLong(in.getShort());
+    return high << 32 | Integer.toUnsignedLong(in.getInt());
+  }
+
+  private static Message message(ByteBuffer in) throws UnreadableException {
+    return switch (in.get()) {
+      case 1 -> new Message.Ping(in.getLong(), name(in));
+      case 2 -> new Message.Ack(in.getLong());
+      case 3 -> new Message.PingRequest(in.getLong(), name(in), address(in));
+      case 4 -> new Message.Nack(in.getLong());
+      case 5 -> new Message.Pull(name(in), name(in), in.getInt(), marks(in));
+      case 6 -> new Message.Part(in.get() != 0, news(in));
+      case 7 -> new Message.Leave();
+      case 8 -> new Message.Tell();
+      default -> throw new UnreadableException(Refusal.NONSENSE);
+    };
+  }
+
+  private static List<Integer> marks(ByteBuffer in) {
+    List<Integer> read = new ArrayList<>();
+    while (in.hasRemaining()) {
+      read.add(Short.toUnsignedInt(in.getShort()));
+    }
+    return read;
+  }
+
+  private static List<News> news(ByteBuffer in) {
+    List<News> read = new ArrayList<>();
+    State[] states = State.values();
+    while (in.hasRemaining()) {
+      ByteBuffer one = take(in, Byte.toUnsignedInt(in.get()));
+      String member = name(one);
+      long at = address(one);
+      long incarnation = one.getLong();
+      int state = one.get();
+      String by = name(one);
+      if (state >= 0 && state < states.length && !member.isEmpty() && incarnation >= 0) {
+        read.add(new News(member, at, incarnation, states[state], by));
+      }
+    }
+    return read;
+  }
+
+  private static List<Claim> claims(ByteBuffer in) {
+    List<Claim> read = new ArrayList<>();
+    while (in.hasRemaining()) {
+      ByteBuffer one = take(in, Byte.toUnsignedInt(in.get()));
+      read.add(new Claim(name(one), one.getLong(), Short.toUnsignedInt(one.getShort()),
+          Short.toUnsignedInt(one.getShort()), Short.toUnsignedInt(one.getShort()),
+          Integer.toUnsignedLong(one.getInt()) * MILLISECOND));
+    }
+    return read;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/reachloom/gossip/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The datagrams of gossip: pure codecs, bytes in and values out. */
+package reachloom.gossip.wire;
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -0,0 +1,78 @@
+package reachloom.lab.gossip;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import reachloom.lab.Lab;
+import reachloom.lab.gossip.VirtualRun.Lie;
+import reachloom.lab.gossip.VirtualRun.Plan;
+
+/** Measures gossip: crashes, joins, loss, liars and sick engines. */
+public final class GossipCommand implements Lab.Command {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+
+  @Override
+  public String purpose() {
+    return "gossip between instances under failures, in simulated time";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(null, "mode", true, "virtual: simulated time and network (the default)")
+        .addOption(null, "instances", true, "instances that start together (8)")
+        .addOption(null, "engines", true, "engines; 0 plays membership alone (0)")
+        .addOption(null, "gateways-down", true, "instances that crash, one after another (1)")
+        .addOption(null, "sick", true, "engines that hang after a quarter of the time (0)")
+        .addOption(null, "liars", true, "instances that lie about engines (0)")
+        .addOption(null, "lie", true, "one, all, friend, flap or praise (all)")
+        .addOption(null, "collude", false, "liars tell the same")
+        .addOption(null, "loss", true, "share of datagrams lost (0)")
+        .addOption(null, "slow", true, "share of instances up to half a period late (0)")
+        .addOption(null, "join", true, "instances that join at once (0)")
+        .addOption(null, "seconds", true, "time after the crashes (60)")
+        .addOption(null, "cap", true, "bytes a second of each instance (4096)")
+        .addOption(null, "period-ms", true, "time between two probes (1000)")
+        .addOption(null, "seed", true, "for all that is drawn (1)")
+        .addOption(null, "json", true, "file for the figures");
+  }
+
+  @Override
+  public int run(CommandLine line) throws Exception {
+    if (!line.getOptionValue("mode", "virtual").equals("virtual")) {
+      throw new ParseException("--mode: '" + line.getOptionValue("mode") + "' is not virtual");
+    }
+    Lie lie;
+    try {
+      lie = Lie.valueOf(line.getOptionValue("lie", "all").toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw new ParseException("--lie: '" + line.getOptionValue("lie")
+          + "' is none of one, all, friend, flap, praise");
+    }
+    int instances = Lab.number(line, "instances", 8, 4, 1_000);
+    int engines = Lab.number(line, "engines", 0, 0, 200);
+    Plan plan = new Plan(instances, engines, Lab.number(line, "gateways-down", 1, 0, instances - 4),
+        Lab.number(line, "sick", 0, 0, engines), Lab.number(line, "liars", 0, 0, instances),
+        line.hasOption("collude"), lie, Lab.share(line, "loss", 0), Lab.share(line, "slow", 0),
+        Lab.number(line, "join", 0, 0, 1_000), Lab.number(line, "seconds", 60, 1, 3_600),
+        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE), Lab.number(line, "cap", 4_096, 1_024, 1 << 20),
+        Lab.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND);
+    Map<String, Object> figures = new VirtualRun(plan).play();
+    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
+    if (line.hasOption("json")) {
+      Map<String, Object> whole = new LinkedHashMap<>();
+      whole.put("mode", "virtual");
+      whole.put("plan", plan);
+      whole.put("figures", figures);
+      Files.writeString(Path.of(line.getOptionValue("json")),
+          new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualService.java
@@ -0,0 +1,291 @@
+package reachloom.lab.gossip;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import reachloom.Choice;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Kind;
+import reachloom.Decisions.Limits;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Overbooked;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.QueryClass;
+import reachloom.Decisions.Rules;
+import reachloom.Decisions.Scope;
+import reachloom.Decisions.Settings;
+import reachloom.Decisions.Tenant;
+import reachloom.Decisions.Traits;
+import reachloom.evidence.Ledger;
+
+/**
+ * Engines and queries beside the gossip of a {@link VirtualCluster}: each instance hosts the real decision
+ * module and gets queries of its own. Engines share their cores among what runs; a sick one takes queries and
+ * says nothing more. With gossip off, the same arrivals meet the same engines.
+ */
+final class VirtualService {
+  private static final long SECOND = VirtualCluster.SECOND;
+  private static final long MILLISECOND = 1_000_000;
+  private static final long AIM = SECOND / 2;
+  private static final long DEADLINE = 2 * SECOND;
+  private static final int CORES = 8;
+  private static final double MEAN_SECONDS = 0.05;
+  private static final long NOTES = 500 * MILLISECOND;
+  private static final double LONGEST = 6; // means
+  private static final double QUERIES = 20; // a second at each gateway
+
+  private static final class Engine {
+    private final String name;
+    private boolean sick;
+    private int running;
+
+    Engine(String name) {
+      this.name = name;
+    }
+  }
+
+  /** One attempt of a query. */
+  private static final class Try {
+    private final Engine engine;
+    private final long sentAt;
+    private boolean over;
+
+    Try(Engine engine, long sentAt) {
+      this.engine = engine;
+      this.sentAt = sentAt;
+    }
+  }
+
+  private static final class Open {
+    private final String id;
+    private final long arrivedAt;
+    private final List<Try> tries = new ArrayList<>();
+    private boolean over;
+    private boolean metSick;
+
+    Open(String id, long arrivedAt) {
+      this.id = id;
+      this.arrivedAt = arrivedAt;
+    }
+  }
+
+  private final VirtualCluster cluster;
+  private final boolean gossip;
+  private final Map<String, Engine> engines = new LinkedHashMap<>();
+  private final List<Front> fronts = new ArrayList<>();
+  private int gateways;
+  private long asked;
+  private long servedInTime;
+  private long lostToSick;
+
+  /** Engines and queries for all instances of the cluster; they start now. */
+  VirtualService(VirtualCluster cluster, int engineCount, boolean gossip, long seed) {
+    this.cluster = cluster;
+    this.gossip = gossip;
+    gateways = cluster.nodes.size();
+    for (int i = 0; i < engineCount; i++) {
+      engines.put("s-" + String.format("%08x", i + 1), new Engine("s-" + String.format("%08x", i + 1)));
+    }
+    SplittableRandom seeds = new SplittableRandom(seed);
+    for (VirtualCluster.Node n : cluster.nodes) {
+      Front f = new Front(n, seeds.nextLong());
+      fronts.add(f);
+      n.hearsay = gossip ? (e, level) -> f.choice.hearsay(cluster.agenda.now(), e, level) : (e, level) -> { };
+    }
+    fronts.forEach(Front::start);
+  }
+
+  /** The names of the engines, in order. */
+  List<String> names() {
+    return List.copyOf(engines.keySet());
+  }
+
+  /** An engine takes queries and says nothing more, or is well again. */
+  void sick(String engine, boolean now) {
+    engines.get(engine).sick = now;
+  }
+
+  /** The share of queries served within the time wanted. */
+  double service() {
+    return asked == 0 ? 1 : (double) servedInTime / asked;
+  }
+
+  /** Queries that were sent to a sick engine, and not served within the time wanted. */
+  long lostToSick() {
+    return lostToSick;
+  }
+
+  long asked() {
+    return asked;
+  }
+
+  private Settings settings() {
+    QueryClass one = new QueryClass(AIM, 0, DEADLINE, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, false,
+        List.of(), List.of(), 1, false, false);
+    return new Settings(gateways, 0, 0, false, 5 * MILLISECOND, 0.1, 0, 0, 0.1, List.of(one),
+        List.of(new Kind(CORES, 0)), List.of(new Tenant(0)), new Limits(4, true, false, false, true, SECOND),
+        new Rules(20 * MILLISECOND, 0.3, 0, 2.5, SECOND, 0, 10 * SECOND, 5, 0.2),
+        new Traits(false, false, false, NOTES, 0.5, Overbooked.WAIT));
+  }
+
+  /** One gateway's decisions, and what they act on. */
+  private final class Front implements Actions {
+    private final VirtualCluster.Node node;
+    private final Choice choice = new Choice(this);
+    private final Map<String, Open> open = new LinkedHashMap<>();
+    private final SplittableRandom arrivals;
+    private final SplittableRandom times;
+    private long count;
+
+    Front(VirtualCluster.Node node, long seed) {
+      this.node = node;
+      arrivals = new SplittableRandom(seed);
+      times = arrivals.split();
+    }
+
+    private long now() {
+      return cluster.agenda.now();
+    }
+
+    void start() {
+      choice.start(now(), times.nextLong(), settings());
+      choice.engines(now(), true, engines.values().stream()
+          .map(e -> new EngineInfo(e.name, EngineState.UP, 0, 0, 0, 1, 0)).toList());
+      if (gossip) {
+        engines.keySet().forEach(e -> node.gossip.engine(e, 0));
+      }
+      next();
+    }
+
+    private void next() {
+      long gap = (long) (-Math.log(1 - arrivals.nextDouble()) / QUERIES * SECOND);
+      cluster.agenda.at(now() + gap, () -> {
+        if (node.up) {
+          Open o = new Open(node.name + "-" + count++, now());
+          open.put(o.id, o);
+          asked++;
+          choice.arrive(now(), new Query(o.id, 0, 0, null, DEADLINE, 0, 0, -1, false));
+        }
+        next();
+      });
+    }
+
+    private void settle(Open o, boolean served) {
+      o.over = true;
+      boolean inTime = served && now() - o.arrivedAt <= AIM;
+      servedInTime += inTime ? 1 : 0;
+      lostToSick += o.metSick && !inTime ? 1 : 0;
+      drop(o);
+    }
+
+    private void drop(Open o) {
+      if (o.over && o.tries.stream().allMatch(t -> t.over)) {
+        open.remove(o.id);
+      }
+    }
+
+    @Override
+    public void send(String query, String engine, long timeout) {
+      Open o = open.get(query);
+      Engine e = engines.get(engine);
+      int number = o.tries.size();
+      Try t = new Try(e, now());
+      o.tries.add(t);
+      o.metSick |= e.sick;
+      cluster.agenda.at(o.arrivedAt + DEADLINE - DEADLINE / 20, () -> end(o, number, Outcome.TIMEOUT));
+      if (e.sick) {
+        return;
+      }
+      e.running++;
+      double slow = Math.max(1, (double) e.running / CORES);
+      double time = Math.min(-Math.log(1 - times.nextDouble()), LONGEST) * MEAN_SECONDS * slow;
+      long until = now() + (long) (time * SECOND);
+      for (long at = now() + NOTES; at < until; at += NOTES) {
+        double done = (double) (at - t.sentAt) / (until - t.sentAt);
+        cluster.agenda.at(at, () -> {
+          if (!t.over) {
+            choice.note(now(), new Note(o.id, number, engine, NoteKind.PROGRESS, done));
+          }
+        });
+      }
+      cluster.agenda.at(until, () -> {
+        e.running--;
+        if (!e.sick) {
+          end(o, number, Outcome.SERVED);
+        }
+      });
+    }
+
+    private void end(Open o, int number, Outcome outcome) {
+      Try t = o.tries.get(number);
+      if (t.over) {
+        return;
+      }
+      t.over = true;
+      if (gossip && (!o.over || outcome == Outcome.SERVED)) {
+        node.gossip.seen(node.clock(), t.engine.name,
+            outcome == Outcome.SERVED ? Ledger.Seen.SERVED : Ledger.Seen.LOST);
+      }
+      if (outcome == Outcome.SERVED && !o.over) {
+        settle(o, true);
+      }
+      choice.end(now(), new AttemptEnd(o.id, number, t.engine.name, outcome, now() - t.sentAt, o.over, 0, 0,
+          null));
+      drop(o);
+    }
+
+    @Override
+    public void cancel(String query, int attempt) {
+      Open o = open.get(query);
+      if (o != null) {
+        cluster.agenda.at(now(), () -> end(o, attempt, Outcome.CANCELLED));
+      }
+    }
+
+    @Override
+    public void refuse(String query, long retryAfter) {
+      fail(query);
+    }
+
+    @Override
+    public void fail(String query) {
+      Open o = open.get(query);
+      if (o != null && !o.over) {
+        settle(o, false);
+      }
+    }
+
+    @Override
+    public void timer(long delay, long token) {
+      cluster.agenda.at(now() + delay, () -> choice.wake(now(), token));
+    }
+
+    @Override
+    public void terms(String query, double grantMb, int priority) {
+      // These engines heed neither.
+    }
+
+    @Override
+    public void probe(String engine) {
+      // These engines do not report.
+    }
+
+    @Override
+    public void watch() {
+      // The list does not change.
+    }
+
+    @Override
+    public void log(String line) {
+      // Nothing is read from it.
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/gossip/VirtualClusterTest.java
@@ -0,0 +1,186 @@
+package reachloom.lab.gossip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import reachloom.lab.gossip.VirtualCluster.Node;
+import reachloom.lab.gossip.VirtualRun.Lie;
+import reachloom.lab.gossip.VirtualRun.Plan;
+import reachloom.membership.State;
+
+/** The failures that membership and evidence are for, brought about in simulated time. */
+class VirtualClusterTest {
+  private static final long SECOND = VirtualCluster.SECOND;
+  private static final int CAP = 4_096;
+
+  private static VirtualCluster settled(int instances, long seed, double loss) {
+    VirtualCluster c = new VirtualCluster(seed, SECOND, CAP, loss);
+    c.add(instances, 3);
+    for (int i = 0; i < 90 && !c.agreed(); i++) {
+      c.run(SECOND);
+    }
+    assertTrue(c.agreed(), "all know each other");
+    assertEquals(0, c.falseDead);
+    return c;
+  }
+
+  private static void awaitAgreement(VirtualCluster c, int seconds) {
+    for (int i = 0; i < seconds && !c.agreed(); i++) {
+      c.run(SECOND);
+    }
+    assertTrue(c.agreed());
+  }
+
+  @Test
+  void withLossAndSlowInstancesNobodyAliveIsGivenUpAndACrashIsFound() {
+    VirtualCluster c = settled(40, 1, 0.05);
+    c.nodes.get(38).slow = true;
+    c.nodes.get(39).slow = true;
+    c.run(60 * SECOND);
+    Node crashed = c.nodes.get(20);
+    crashed.up = false;
+    c.run(40 * SECOND);
+    assertEquals(39, c.holding(crashed, State.DEAD));
+    assertEquals(0, c.falseDead);
+    assertTrue(c.mostBytes() <= CAP, c.mostBytes() + " bytes");
+  }
+
+  @Test
+  void halvesThatLostEachOtherFindTogetherAgain() {
+    VirtualCluster c = settled(20, 2, 0);
+    c.cut = (a, b) -> c.nodes.indexOf(a) < 10 != c.nodes.indexOf(b) < 10;
+    c.run(60 * SECOND);
+    assertTrue(c.nodes.get(0).gossip.membership().size() <= 10, "each half holds the other for gone");
+    c.cut = (a, b) -> false;
+    awaitAgreement(c, 60);
+  }
+
+  @Test
+  void whoCanSpeakButNotHearDoesNotBringTheOthersDown() {
+    VirtualCluster c = settled(12, 3, 0);
+    Node deaf = c.nodes.get(5);
+    c.cut = (a, b) -> b == deaf;
+    c.run(60 * SECOND);
+    long present = c.nodes.stream().filter(n -> n != deaf)
+        .filter(n -> n.gossip.membership().members().stream()
+            .allMatch(m -> m.name().equals(deaf.name) || m.state().present())).count();
+    assertEquals(11, present, "what it says of the others is refuted");
+    assertTrue(deaf.gossip.membership().health() > 0, "and it looks to itself");
+  }
+
+  @Test
+  void copiesAndLateDatagramsChangeNothing() {
+    VirtualCluster c = settled(20, 4, 0);
+    c.copies = 0.2;
+    c.delayed = 0.05;
+    c.run(120 * SECOND);
+    assertEquals(0, c.falseDead);
+    assertTrue(c.agreed());
+  }
+
+  @Test
+  void aGatewayThatStoodStillDeclaresNobodyDeadNorIsItself() {
+    VirtualCluster c = settled(12, 5, 0);
+    for (int i = 0; i < 10; i++) {
+      c.nodes.get(i).stalledUntil = c.agenda.now() + 2 * SECOND;
+      c.run(4 * SECOND);
+    }
+    assertEquals(0, c.falseDead);
+    assertTrue(c.agreed());
+  }
+
+  @Test
+  void clocksApartDoNotMatterToMembership() {
+    VirtualCluster c = new VirtualCluster(6, SECOND, CAP, 0);
+    c.add(8, 3);
+    c.nodes.get(4).skew = 10 * SECOND;
+    c.nodes.get(5).skew = -10 * SECOND;
+    c.run(60 * SECOND);
+    assertEquals(0, c.falseDead);
+    assertTrue(c.agreed());
+  }
+
+  @Test
+  void aRestartUnderTheSameNameComesBackAlsoWithAClockSetBack() {
+    VirtualCluster c = settled(12, 7, 0);
+    Node n = c.nodes.get(6);
+    n.up = false;
+    c.run(60 * SECOND);
+    assertEquals(11, c.holding(n, State.DEAD));
+    n.skew = -20 * SECOND; // its new incarnation is an old one
+    c.start(n, 3);
+    awaitAgreement(c, 60);
+    assertEquals(State.ALIVE, c.nodes.get(0).gossip.membership().member(n.name).state());
+  }
+
+  @Test
+  void aFarewellIsNoDeath() {
+    VirtualCluster c = settled(12, 8, 0);
+    Node n = c.nodes.get(6);
+    n.gossip.leave(c.agenda.now());
+    c.run(SECOND);
+    n.up = false;
+    c.run(40 * SECOND);
+    assertFalse(c.nodes.stream().filter(x -> x.up)
+        .anyMatch(x -> x.gossip.membership().member(n.name).state().present()));
+  }
+
+  @Test
+  void manyJoinAtOnceWithinTheCapAndWithoutAFalseDeath() {
+    VirtualCluster c = settled(20, 9, 0.01);
+    c.add(80, 3);
+    awaitAgreement(c, 60);
+    assertEquals(0, c.falseDead);
+    assertTrue(c.mostBytes() <= CAP, c.mostBytes() + " bytes");
+  }
+
+  @Test
+  void atTheLeastCapTheFailureDetectorStillWorks() {
+    VirtualCluster c = new VirtualCluster(10, SECOND, 1_024, 0);
+    c.add(10, 3);
+    awaitAgreement(c, 120);
+    Node n = c.nodes.get(7);
+    n.up = false;
+    c.run(60 * SECOND);
+    assertEquals(9, c.holding(n, State.DEAD));
+    assertTrue(c.mostBytes() <= 1_024, c.mostBytes() + " bytes");
+  }
+
+  private static Map<String, Object> play(int sick, int liars, boolean collude, Lie lie) {
+    Plan plan = new Plan(8, 16, 0, sick, liars, collude, lie, 0.01, 0, 0, 40, 3, CAP, SECOND);
+    return new VirtualRun(plan).play();
+  }
+
+  private static double figure(Map<String, Object> figures, String name) {
+    return ((Number) figures.get(name)).doubleValue();
+  }
+
+  @Test
+  void sharedEvidenceSavesQueriesFromSickEngines() {
+    Map<String, Object> figures = play(2, 0, false, Lie.ALL);
+    assertTrue(figure(figures, "lost_to_sick") < 0.75 * figure(figures, "lost_to_sick_alone"),
+        figures.toString());
+    assertTrue(figure(figures, "service") >= figure(figures, "service_alone"));
+  }
+
+  @Test
+  void liarsDoNextToNoHarm() {
+    for (Lie lie : Lie.values()) {
+      Map<String, Object> one = play(1, 1, false, lie);
+      assertTrue(figure(one, "service") >= figure(one, "service_alone") - 0.02, lie + " " + one);
+      Map<String, Object> three = play(1, 3, true, lie);
+      assertTrue(figure(three, "service") >= figure(three, "service_alone") - 0.05, lie + " " + three);
+    }
+  }
+
+  @Test
+  void theSameSeedGivesTheSameFigures() {
+    Plan plan = new Plan(10, 8, 1, 1, 1, false, Lie.FLAP, 0.05, 0.1, 5, 20, 4, CAP, SECOND);
+    assertEquals(List.copyOf(new VirtualRun(plan).play().entrySet()),
+        List.copyOf(new VirtualRun(plan).play().entrySet()));
+  }
+}
--- a/standin/src/main/java/reachloom/standin/NodeStandIn.java
+++ b/standin/src/main/java/reachloom/standin/NodeStandIn.java
@@ -11,9 +11,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An engine as the protocol page describes it. What it does with a statement is told by a comment in it:
@@ -27,6 +31,10 @@
   private final Set<String> twice = ConcurrentHashMap.newKeySet();
   private final ConcurrentLinkedQueue<Socket> sockets = new ConcurrentLinkedQueue<>();
   private final ServerSocket server;
+  private final SplittableRandom random = new SplittableRandom(1);
+  private volatile double meanMs;
+  private volatile boolean hung;
+  private volatile int keptCommands = Integer.MAX_VALUE;
 
   public NodeStandIn() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -39,6 +47,17 @@
     t.start();
   }
 
+  /** From now on plain statements take that long, exponentially distributed, six means at most. */
+  public void takes(double ms) {
+    meanMs = ms;
+    keptCommands = 0; // a long run need not be told line by line
+  }
+
+  /** Whether it takes requests and says nothing more; probes are still answered. */
+  public void hang(boolean now) {
+    hung = now;
+  }
+
   public InetSocketAddress address() {
     return (InetSocketAddress) server.getLocalSocketAddress();
   }
@@ -67,7 +86,9 @@
     try (s) {
       InputStream in = new BufferedInputStream(s.getInputStream());
       for (String line = line(in); line != null; line = line(in)) {
-        commands.add(line);
+        if (commands.size() < keptCommands) {
+          commands.add(line);
+        }
         String[] words = line.split(" ");
         if (words[0].equals("ASK")) {
           String statement = new String(in.readNBytes(Integer.parseInt(words[3])), StandardCharsets.UTF_8);
@@ -124,24 +145,37 @@
       say(s, id + " OK fetches=3,effort=5,high=1", ROW);
     } else if (statement.contains("late")) {
       later(() -> say(s, id + " OK fetches=1,effort=5,high=1", ROW), 300);
+    } else if (!statement.contains("hang") && meanMs > 0) {
+      if (!hung) {
+        later(() -> say(s, id + " OK fetches=1,effort=5,high=1", ROW), time());
+      }
     } else if (!statement.contains("hang")) {
       say(s, id + " OK fetches=1,effort=5,high=1", ROW);
     }
   }
 
+  private synchronized long time() {
+    return Math.round(Math.min(6 * meanMs, -meanMs * Math.log(1 - random.nextDouble())));
+  }
+
   private interface Words {
     void say() throws IOException;
   }
 
+  private static final ScheduledExecutorService LATER = Executors.newScheduledThreadPool(2, work -> {
+    Thread t = new Thread(work, "stand-in");
+    t.setDaemon(true);
+    return t;
+  });
+
   private static void later(Words words, long ms) {
-    daemon(() -> {
+    LATER.schedule(() -> {
       try {
-        Thread.sleep(ms);
         words.say();
-      } catch (IOException | InterruptedException e) {
+      } catch (IOException e) {
         // nobody waits for it
       }
-    });
+    }, ms, TimeUnit.MILLISECONDS);
   }
 
   private static void say(Socket s, String head, String body) throws IOException {
