Gossip on sockets: keys, certificates, the UDP port, status; switched on by the settings

Need: the pure modules need a wire on which nobody can speak in another's name, and operators a way to set it up.

Change: reachloom.gossip.net holds Identity (Ed25519 key, small X.509 certificate, authorities, revocations; a key that others may read is refused), Doorway (cheap checks, budgets, certificate, signature, content, in that order; refusals are counted by reason), GossipPort (one thread reads and proves, one signs and sends, so that a flood costs the loop nothing) and GossipNode, which ties them to the loop. Gateway gets an Observer for engines and ends of attempts. SIGHUP replaces keys, authorities, revocations and seeds; SIGTERM says good-bye. tools/ holds reachloom gossip ca, key, sign, show, revoke and status, with Bouncy Castle, in a jar of its own that reachloom.jar looks for beside itself.

--- a/decisions/src/main/java/reachloom/membership/Message.java
+++ b/decisions/src/main/java/reachloom/membership/Message.java
@@ -35,6 +35,14 @@
   record Tell() implements Message {
   }
 
+  /** An operator asks for a page of what this instance knows. */
+  record Status(int page) implements Message {
+  }
+
+  /** One of so many pages, as text. */
+  record StatusPage(int page, int pages, String text) implements Message {
+  }
+
   /** I am going. */
   record Leave() implements Message {
   }
--- a/gateway/src/main/java/reachloom/Main.java
+++ b/gateway/src/main/java/reachloom/Main.java
@@ -3,7 +3,12 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
@@ -23,6 +28,8 @@
   private static final int OK = 0;
   private static final int BAD_USE = 2;
   private static final int COLUMNS = 100;
+  /** What only operators use, with the libraries that takes, stays out of the gateway's jar. */
+  private static final String TOOLS = "reachloom-tools.jar";
   private static final String COMMANDS = String.join(System.lineSeparator(),
       "",
       "commands:",
@@ -30,6 +37,7 @@
       "  benchlink           decide for many gateways on the simulator's wire (standard input and output)",
       "  check-config FILE   read a configuration (JSON) or settings (XML) and say what is wrong with it",
       "  rehearse            start with a made-up configuration on loopback, then stop (see deploy)",
+      "  gossip COMMAND      keys, certificates and status of gossip; needs " + TOOLS + " beside this jar",
       "  version             print the version",
       "",
       "options:");
@@ -45,6 +53,9 @@
   }
 
   static int run(String[] args, PrintStream out, PrintStream err) throws IOException, InterruptedException {
+    if (args.length > 0 && args[0].equals("gossip")) {
+      return tools("reachloom.tools.GossipTool", Arrays.copyOfRange(args, 1, args.length), out, err);
+    }
     Options options = new Options().addOption("h", "help", false, "print this text")
         .addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
             .desc("serve with the settings of an installation (XML); else those that "
@@ -102,6 +113,29 @@
     }
   }
 
+  /** Runs a tool of the jar beside this one, or of the build's folder. */
+  private static int tools(String tool, String[] args, PrintStream out, PrintStream err) throws IOException {
+    try {
+      Path here = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+      Path beside = here.resolveSibling(TOOLS);
+      Path built = here.resolve("../../../tools/target").resolve(TOOLS).normalize();
+      Path jar = Files.exists(beside) ? beside : built;
+      if (!Files.exists(jar)) {
+        err.println("reachloom: " + TOOLS + " is not beside " + here);
+        return BAD_USE;
+      }
+      try (URLClassLoader loader =
+          new URLClassLoader(new URL[] {jar.toUri().toURL()}, Main.class.getClassLoader())) {
+        return (int) Class.forName(tool, true, loader)
+            .getMethod("run", String[].class, PrintStream.class, PrintStream.class)
+            .invoke(null, args, out, err);
+      }
+    } catch (URISyntaxException | ReflectiveOperationException e) {
+      err.println("reachloom: " + TOOLS + " can't be used: " + e);
+      return BAD_USE;
+    }
+  }
+
   /** What a file of either form tells; XML by its ending, since neither form can be taken for the other. */
   private static String checked(String file) throws ConfigException {
     if (file.endsWith(".xml")) {
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -90,6 +90,8 @@
   private long heldBytes;
   private final AtomicLong unsent = new AtomicLong();
   private boolean good;
+  /** Hears of engines; null where nobody does. */
+  private Observer observer;
   /** Once the gateway is to stop: by when all must be answered; else the largest time. */
   private long answerBy = Long.MAX_VALUE;
 
@@ -115,10 +117,23 @@
     engines.update(true, config.known());
     tell(() -> module.start(loop.now(), config.seed(), config.settings()));
     tell(() -> module.engines(loop.now(), true, config.known().stream().map(Member::info).toList()));
+    if (observer != null) {
+      observer.engines(true, config.known());
+    }
     changeLog.connect();
     sweep();
   }
 
+  /** Lets somebody hear what is learned of engines; before the start. */
+  public void observe(Observer of) {
+    observer = of;
+  }
+
+  /** What other instances say of an engine; for the loop's own thread. */
+  public void hearsay(String engine, double level) {
+    tell(() -> module.hearsay(loop.now(), engine, level));
+  }
+
   /** Listens for clients. */
   public void listen() throws java.io.IOException {
     sockets.listen(config.listen(), new DecodingHandler<>("client", CallDecoder::new, new Heard()));
@@ -186,6 +201,9 @@
     engines.update(change.whole(), change.members());
     tell(() -> module.engines(loop.now(), change.whole(),
         change.members().stream().map(Member::info).toList()));
+    if (observer != null) {
+      observer.engines(change.whole(), change.members());
+    }
   }
 
   private void changeLogAway() {
@@ -467,6 +485,9 @@
     AttemptEnd end = new AttemptEnd(r.id, a.number, a.engine, outcome, now - a.sentAt, r.over,
         served ? a.costMs : 0, served ? a.memoryMb : 0, a.report);
     a.pages.clear();
+    if (observer != null) {
+      observer.ended(a.engine, outcome, served || !r.over);
+    }
     tell(() -> module.end(now, end));
     drop(r);
   }
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -11,9 +11,12 @@
 import reachloom.Choice;
 import reachloom.config.ConfigException;
 import reachloom.config.GatewayConfig;
+import reachloom.config.GossipSettings;
 import reachloom.config.LocalSettings;
 import reachloom.gateway.Gateway;
 import reachloom.gateway.Loop;
+import reachloom.gossip.net.GossipNode;
+import reachloom.gossip.net.Identity;
 import sun.misc.Signal;
 
 /** Runs one gateway from its start to its end. */
@@ -25,6 +28,7 @@
   /** All is answered by then: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
   private static final long LONGEST_DEADLINE = 3_000 * MILLISECOND;
   private static final long ANSWERING = 400 * MILLISECOND;
+  private static final int BAD_CONFIGURATION = 2;
   private static final long CHECK = 10 * MILLISECOND;
   /**
    * Connections stay open for so long after the last answer: a client that asks again at once on one already
@@ -40,6 +44,8 @@
   private final Loop loop = new Loop();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Gateway gateway;
+  /** Null where gossip is off; then none of its classes is loaded. */
+  private GossipNode gossip;
   private boolean stopping;
   private boolean endWhenReady;
   private long openUntil;
@@ -60,6 +66,9 @@
   /** Serves until SIGTERM; gives the exit status. */
   public int run() throws InterruptedException {
     gateway = new Gateway(config, loop, Choice::new);
+    if (local.gossip().isPresent() && !joinOthers(local.gossip().get())) {
+      return BAD_CONFIGURATION;
+    }
     try {
       gateway.listen();
     } catch (IOException e) {
@@ -82,6 +91,19 @@
     return 0;
   }
 
+  /** Takes up gossip with other instances; false where the settings can't be used. */
+  private boolean joinOthers(GossipSettings settings) {
+    try {
+      gossip = new GossipNode(loop, settings, Identity.read(settings), config.seed(), gateway::hearsay);
+      gateway.observe(gossip);
+      loop.post(0, gossip::start);
+      return true;
+    } catch (ConfigException | IOException e) {
+      LOG.log(Level.ERROR, "gossip at {0}: {1}", settings.listen(), e.getMessage());
+      return false;
+    }
+  }
+
   /** Starts, and stops again once ready: for a virtual machine that keeps the classes which that took. */
   public int rehearse() throws InterruptedException {
     endWhenReady = true;
@@ -121,7 +143,12 @@
       LOG.log(Level.INFO, "the settings are read again: {0} in force from now on", String.join(", ", taken));
     }
     local = nextLocal;
-    loop.post(0, () -> gateway.reload(next));
+    loop.post(0, () -> {
+      gateway.reload(next);
+      if (gossip != null) {
+        nextLocal.gossip().ifPresent(gossip::reload);
+      }
+    });
   }
 
   /** On SIGTERM: the process goes on until the loop has ended, then exits as one that stopped well. */
@@ -146,6 +173,9 @@
     long by = now + Math.min(longest, LONGEST_DEADLINE) + ANSWERING;
     LOG.log(Level.INFO, "{0} stops with {1} requests open", config.name(), gateway.open());
     gateway.good(false);
+    if (gossip != null) {
+      gossip.stop();
+    }
     gateway.answerBy(by);
     loop.deadlines().add(by, gateway::answerAll);
     loop.deadlines().add(now + TAKING, this::finish);
--- /dev/null
+++ b/gateway/src/main/java/reachloom/gossip/net/Doorway.java
@@ -0,0 +1,153 @@
+package reachloom.gossip.net;
+
+import java.security.GeneralSecurityException;
+import java.security.cert.X509Certificate;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import reachloom.gossip.Guard;
+import reachloom.gossip.Packet;
+import reachloom.gossip.Refusal;
+import reachloom.gossip.wire.GossipCodec;
+import reachloom.gossip.wire.GossipCodec.UnreadableException;
+import reachloom.gossip.wire.Head;
+
+/**
+ * Takes datagrams in, or refuses them and counts why: first what is cheap, then the certificate, then the
+ * signature, and only then the content. Belongs to the thread that reads the socket.
+ */
+final class Doorway {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final int MOST_KNOWN = 2_048;
+
+  /** What has come whole and proved. */
+  record Entered(Packet packet, boolean knowsUs, long source) {
+  }
+
+  private final int cluster;
+  private final Guard guard = new Guard();
+  private final Map<String, X509Certificate> known = new LinkedHashMap<>(16, 0.75f, true);
+  private volatile Identity identity;
+  private volatile Set<Long> members = Set.of();
+
+  Doorway(String cluster, Identity identity) {
+    this.cluster = GossipCodec.cluster(cluster);
+    this.identity = identity;
+  }
+
+  /** Keys, authorities and revocations read anew: whoever is known has to pass them again. */
+  void identity(Identity next) {
+    identity = next;
+    synchronized (known) {
+      known.clear();
+    }
+  }
+
+  /** Addresses that members are known to send from. */
+  void members(Set<Long> addresses) {
+    members = addresses;
+  }
+
+  /** Whether a member's certificate is held here, so that it need not be sent again. */
+  boolean knows(String member) {
+    synchronized (known) {
+      return known.containsKey(member);
+    }
+  }
+
+  /** How many were refused, by reason. */
+  Map<Refusal, Long> refused() {
+    synchronized (guard) {
+      return guard.refused();
+    }
+  }
+
+  /** Takes a datagram; null where it is refused, which is counted. {@code now} is in Unix nanoseconds. */
+  Entered enter(long now, long source, byte[] bytes) {
+    synchronized (guard) {
+      try {
+        return taken(now, source, bytes);
+      } catch (UnreadableException e) {
+        guard.refuse(e.why());
+        return null;
+      }
+    }
+  }
+
+  private Entered taken(long now, long source, byte[] bytes) throws UnreadableException {
+    Head head = GossipCodec.head(bytes);
+    if (head.cluster() != cluster) {
+      guard.refuse(Refusal.CLUSTER);
+      return null;
+    }
+    X509Certificate held;
+    synchronized (known) {
+      held = known.get(head.sender());
+    }
+    boolean same = held != null && (head.certificate() == null || same(held, head.certificate()));
+    Refusal no = guard.admit(now, source, members.contains(source), held != null, head.certificate() != null,
+        head.sender(), head.time() * MILLISECOND, head.seq());
+    if (no != null) {
+      return null;
+    }
+    X509Certificate of = same ? held : certificate(head, now);
+    if (of == null) {
+      return null;
+    }
+    Identity me = identity;
+    long ms = now / MILLISECOND;
+    if (me.revoked(of)) {
+      guard.refuse(Refusal.REVOKED);
+      return null;
+    }
+    boolean valid = ms >= of.getNotBefore().getTime() && ms <= of.getNotAfter().getTime();
+    if (!valid) {
+      guard.refuse(Refusal.CERTIFICATE);
+      return null;
+    }
+    int signed = bytes.length - GossipCodec.SIGNATURE;
+    byte[] signature = Arrays.copyOfRange(bytes, signed, bytes.length);
+    if (!Identity.verify(of.getPublicKey(), bytes, signed, signature)) {
+      guard.refuse(Refusal.FORGED);
+      return null;
+    }
+    if (!guard.take(head.sender(), head.seq())) {
+      return null;
+    }
+    if (!same) {
+      keep(head.sender(), of);
+    }
+    return new Entered(GossipCodec.read(bytes, head), head.knowsYou(), source);
+  }
+
+  private static boolean same(X509Certificate held, byte[] bytes) {
+    try {
+      return Arrays.equals(held.getEncoded(), bytes);
+    } catch (GeneralSecurityException e) {
+      return false;
+    }
+  }
+
+  private X509Certificate certificate(Head head, long now) {
+    try {
+      X509Certificate c = Identity.certificate(head.certificate());
+      if (Identity.commonName(c).equals(head.sender()) && identity.trusts(c, now / MILLISECOND)) {
+        return c;
+      }
+    } catch (GeneralSecurityException e) {
+      // told below
+    }
+    guard.refuse(Refusal.CERTIFICATE);
+    return null;
+  }
+
+  private void keep(String sender, X509Certificate c) {
+    synchronized (known) {
+      if (known.size() >= MOST_KNOWN) {
+        known.remove(known.keySet().iterator().next());
+      }
+      known.put(sender, c);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -0,0 +1,259 @@
+package reachloom.gossip.net;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Outcome;
+import reachloom.config.ConfigException;
+import reachloom.config.GossipSettings;
+import reachloom.config.Member;
+import reachloom.evidence.Claim;
+import reachloom.evidence.Corroboration.Belief;
+import reachloom.evidence.Ledger;
+import reachloom.gateway.Loop;
+import reachloom.gateway.Observer;
+import reachloom.gossip.Gossip;
+import reachloom.gossip.Packet;
+import reachloom.gossip.Transport;
+import reachloom.gossip.wire.GossipCodec;
+import reachloom.membership.Message;
+import reachloom.membership.News;
+
+/**
+ * This gateway among the others: ties the pure modules to the loop and the port. All but the port's own
+ * threads runs on the loop.
+ */
+public final class GossipNode implements Observer, Transport {
+  private static final Logger LOG = System.getLogger(GossipNode.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final int PAGE = 900; // bytes of a page of status
+  private static final int MOST_PAGES = 200;
+
+  private final Loop loop;
+  private final GossipSettings settings;
+  private final Doorway doorway;
+  private final GossipPort port;
+  private final Gossip gossip;
+  private final int cluster;
+  private final Set<String> knowsUs = new HashSet<>();
+  private final Set<String> engines = new LinkedHashSet<>();
+  private Identity identity;
+  private long seq;
+  private long sent;
+  private boolean over;
+
+  /** Opens the port; {@code hearsay} hears, on the loop, of engines that others speak against. */
+  public GossipNode(Loop loop, GossipSettings settings, Identity identity, long seed,
+      BiConsumer<String, Double> hearsay) throws IOException {
+    this.loop = loop;
+    this.settings = settings;
+    this.identity = identity;
+    cluster = GossipCodec.cluster(settings.cluster());
+    seq = loop.now(); // above all that an earlier life has used
+    gossip = new Gossip(identity.name(), GossipPort.number(settings.listen()), seeds(settings), loop.now(),
+        settings.period(), settings.bytesPerSecond(), seed, this, hearsay);
+    doorway = new Doorway(settings.cluster(), identity);
+    port = new GossipPort(settings.listen(), doorway, identity, loop::now,
+        e -> loop.post(GossipCodec.MOST, () -> entered(e)));
+    LOG.log(Level.INFO, "gossip as {0} in {1} at {2}, {3} bytes a second at most", identity.name(),
+        settings.cluster(), settings.listen(), Integer.toString(settings.bytesPerSecond()));
+  }
+
+  private static List<Long> seeds(GossipSettings s) {
+    return s.seeds().stream().map(GossipPort::number).toList();
+  }
+
+  /** Begins to look at the clock. */
+  public void start() {
+    tick();
+  }
+
+  private void tick() {
+    if (over) {
+      return;
+    }
+    gossip.tick(loop.now());
+    doorway.members(gossip.membership().members().stream().map(m -> m.address())
+        .collect(Collectors.toUnmodifiableSet()));
+    loop.deadlines().add(loop.now() + gossip.membership().tickEvery(), this::tick);
+  }
+
+  /** Takes over keys, authorities, revocations and seeds read anew. */
+  public void reload(GossipSettings next) {
+    try {
+      Identity read = Identity.read(next);
+      if (!read.name().equals(identity.name())) {
+        LOG.log(Level.WARNING, "gossip identity: {0} is another instance; it stays {1}", read.name(),
+            identity.name());
+        return;
+      }
+      identity = read;
+      knowsUs.clear(); // they hold the certificate before
+      doorway.identity(read);
+      port.identity(read);
+      gossip.membership().seeds(seeds(next));
+    } catch (ConfigException e) {
+      LOG.log(Level.WARNING, "gossip stays as it is: {0}", e.getMessage());
+    }
+  }
+
+  /** Says good-bye and closes the port. */
+  public void stop() {
+    if (!over) {
+      over = true;
+      gossip.leave(loop.now());
+      port.close();
+    }
+  }
+
+  public Gossip gossip() {
+    return gossip;
+  }
+
+  // ---- What the gateway sees ----
+
+  @Override
+  public void engines(boolean whole, List<Member> members) {
+    Set<String> named = members.stream().map(m -> m.info().name()).collect(Collectors.toSet());
+    if (whole) {
+      engines.stream().filter(e -> !named.contains(e)).toList().forEach(this::gone);
+    }
+    for (Member m : members) {
+      if (m.info().state() == EngineState.GONE) {
+        gone(m.info().name());
+      } else {
+        engines.add(m.info().name());
+        gossip.engine(m.info().name(), m.info().since());
+      }
+    }
+  }
+
+  private void gone(String engine) {
+    engines.remove(engine);
+    gossip.engineGone(engine);
+  }
+
+  @Override
+  public void ended(String engine, Outcome outcome, boolean wanted) {
+    Ledger.Seen seen = switch (outcome) {
+      case SERVED -> Ledger.Seen.SERVED;
+      case ERROR, RESET, UNREACHED -> Ledger.Seen.FAILED;
+      case TIMEOUT -> Ledger.Seen.LOST;
+      case CANCELLED -> wanted ? Ledger.Seen.LOST : null; // one whose client has left tells nothing
+      case FULL, NOT_SENT -> null;
+    };
+    if (seen != null) {
+      gossip.seen(loop.now(), engine, seen);
+    }
+  }
+
+  // ---- What comes ----
+
+  private void entered(Doorway.Entered e) {
+    if (over) {
+      return;
+    }
+    Packet p = e.packet();
+    if (e.knowsUs()) {
+      knowsUs.add(p.sender());
+    } else {
+      knowsUs.remove(p.sender());
+    }
+    if (p.message() instanceof Message.Status s) {
+      status(p, s, e.source());
+    } else {
+      gossip.receive(loop.now(), p);
+    }
+  }
+
+  // ---- What goes out ----
+
+  @Override
+  public int message(String to, Message message) {
+    return GossipCodec.size(identity.name(), message,
+        knowsUs.contains(to) ? 0 : identity.certificate().length);
+  }
+
+  @Override
+  public int news(News news) {
+    return GossipCodec.size(news);
+  }
+
+  @Override
+  public int claim(Claim claim) {
+    return GossipCodec.size(claim);
+  }
+
+  @Override
+  public void send(String to, long address, Packet packet) {
+    byte[] certificate = knowsUs.contains(to) ? null : identity.certificate();
+    byte[] unsigned = GossipCodec.write(cluster, packet, seq++, loop.now() / MILLISECOND, certificate,
+        doorway.knows(to));
+    sent += unsigned.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
+    port.send(address, unsigned);
+  }
+
+  // ---- Status ----
+
+  /** Answers an operator with one page of the status, to where the question came from. */
+  private void status(Packet asked, Message.Status s, long source) {
+    List<String> pages = pages();
+    if (s.page() < 0 || s.page() >= pages.size()) {
+      return;
+    }
+    Message answer = new Message.StatusPage(s.page(), pages.size(), pages.get(s.page()));
+    int size = message(asked.sender(), answer);
+    if (gossip.membership().meter().room(loop.now(), reachloom.membership.Meter.Use.ANSWER, size)) {
+      gossip.membership().meter().sent(loop.now(), size, 0);
+      send(asked.sender(), source, new Packet(identity.name(), GossipPort.number(settings.listen()),
+          gossip.membership().incarnation(), answer, List.of(), List.of()));
+    }
+  }
+
+  private List<String> pages() {
+    List<String> pages = new ArrayList<>();
+    StringBuilder page = new StringBuilder();
+    for (String line : lines()) {
+      if (page.length() + line.length() + 1 > PAGE) {
+        pages.add(page.toString());
+        page.setLength(0);
+      }
+      page.append(line).append('\n');
+    }
+    pages.add(page.toString());
+    return pages.subList(0, Math.min(MOST_PAGES, pages.size()));
+  }
+
+  /** What an operator wants to know, a line each; ASCII. */
+  List<String> lines() {
+    List<String> lines = new ArrayList<>();
+    var membership = gossip.membership();
+    long now = loop.now();
+    lines.add("instance " + identity.name() + " cluster " + settings.cluster() + " incarnation "
+        + membership.incarnation() + " health " + membership.health() + " members " + membership.size());
+    lines.add("bytes sent " + sent + " cap " + settings.bytesPerSecond() + " a second, datagrams dropped "
+        + port.dropped());
+    lines.add("refused " + doorway.refused());
+    membership.members().forEach(m -> lines.add("member " + m.name() + " "
+        + GossipPort.address(m.address()).toString().substring(1) + " " + m.state() + " incarnation "
+        + m.incarnation() + " for " + (now - m.since()) / (1_000 * MILLISECOND) + " s standing "
+        + String.format("%.2f", gossip.corroboration().standing(m.name())) + " contradicted "
+        + gossip.corroboration().contradicted(m.name())));
+    for (Belief b : gossip.beliefs()) {
+      lines.add("engine " + b.engine() + " level " + String.format("%.2f", b.level()) + " accused by "
+          + String.join(",", b.accusers()) + " vouched for by " + String.join(",", b.vouchers()));
+    }
+    lines.replaceAll(l -> l.length() > PAGE - 1 ? l.substring(0, PAGE - 1) : l);
+    lines.replaceAll(l -> new String(l.getBytes(StandardCharsets.US_ASCII), StandardCharsets.US_ASCII));
+    return lines;
+  }
+}
--- a/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
+++ b/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
@@ -94,6 +94,11 @@
     } else if (m instanceof Message.Part p) {
       return 2 + p.held().stream().mapToInt(GossipCodec::size).sum();
     }
+    if (m instanceof Message.StatusPage s) {
+      return 1 + 4 + 2 + s.text().length();
+    } else if (m instanceof Message.Status) {
+      return 3;
+    }
     return m instanceof Message.Leave || m instanceof Message.Tell ? 1 : 9;
   }
 
@@ -182,6 +187,12 @@
       out.put((byte) 7);
     } else if (m instanceof Message.Tell) {
       out.put((byte) 8);
+    } else if (m instanceof Message.Status s) {
+      out.put((byte) 9).putShort((short) s.page());
+    } else if (m instanceof Message.StatusPage s) {
+      byte[] text = s.text().getBytes(StandardCharsets.US_ASCII);
+      out.put((byte) 10).putShort((short) s.page()).putShort((short) s.pages()).putShort((short) text.length)
+          .put(text);
     }
   }
 
@@ -310,10 +321,22 @@
       case 6 -> new Message.Part(in.get() != 0, news(in));
       case 7 -> new Message.Leave();
       case 8 -> new Message.Tell();
+      case 9 -> new Message.Status(Short.toUnsignedInt(in.getShort()));
+      case 10 -> page(in);
       default -> throw new UnreadableException(Refusal.NONSENSE);
     };
   }
 
+  private static Message.StatusPage page(ByteBuffer in) {
+    int number = Short.toUnsignedInt(in.getShort());
+    int pages = Short.toUnsignedInt(in.getShort());
+    byte[] text = new byte[Short.toUnsignedInt(in.getShort())];
+    in.get(text);
+    // It goes to a terminal: nothing but printable ASCII and line ends.
+    return new Message.StatusPage(number, pages,
+        new String(text, StandardCharsets.US_ASCII).replaceAll("[^\\x20-\\x7e\n]", "?"));
+  }
+
   private static List<Integer> marks(ByteBuffer in) {
     List<Integer> read = new ArrayList<>();
     while (in.hasRemaining()) {
--- a/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
+++ b/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
@@ -29,7 +29,8 @@
   private static final List<Message> MESSAGES = List.of(new Message.Ping(-7, ""), new Message.Ping(7, "g2"),
       new Message.Ack(Long.MAX_VALUE), new Message.PingRequest(9, "g4", ADDRESS), new Message.Nack(0),
       new Message.Pull("a", "", 5, List.of(0, 1, 65_535)), new Message.Part(true, List.of(NEWS)),
-      new Message.Part(false, List.of()), new Message.Tell(), new Message.Leave());
+      new Message.Part(false, List.of()), new Message.Tell(),
+      new Message.Status(3), new Message.StatusPage(3, 4, "member g1\n"), new Message.Leave());
 
   private static Packet packet(Message m) {
     return new Packet("g1", ADDRESS, 1_700_000_001L, m, List.of(NEWS, new News("g9", 0, 0, State.ALIVE, "")),
