--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -1,8 +1,10 @@
 package reachloom.lab.gossip;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -25,7 +27,9 @@
   @Override
   public Options options() {
     return new Options()
-        .addOption(null, "mode", true, "virtual: simulated time and network (the default)")
+        .addOption(null, "mode", true, "virtual: simulated time and network (the default); "
+            + "sockets: real gateways on loopback, with --sick and --junk")
+        .addOption(null, "junk", true, "datagrams a second of junk at one instance, on sockets (0)")
         .addOption(null, "instances", true, "instances that start together (8)")
         .addOption(null, "engines", true, "engines; 0 plays membership alone (0)")
         .addOption(null, "gateways-down", true, "instances that crash, one after another (1)")
@@ -45,8 +49,9 @@
 
   @Override
   public int run(CommandLine line) throws Exception {
-    if (!line.getOptionValue("mode", "virtual").equals("virtual")) {
-      throw new ParseException("--mode: '" + line.getOptionValue("mode") + "' is not virtual");
+    String mode = line.getOptionValue("mode", "virtual");
+    if (!mode.equals("virtual") && !mode.equals("sockets")) {
+      throw new ParseException("--mode: '" + mode + "' is neither virtual nor sockets");
     }
     Lie lie;
     try {
@@ -57,17 +62,39 @@
     }
     int instances = Lab.number(line, "instances", 8, 4, 1_000);
     int engines = Lab.number(line, "engines", 0, 0, 200);
+    if (mode.equals("sockets")) {
+      return sockets(line, engines);
+    }
     Plan plan = new Plan(instances, engines, Lab.number(line, "gateways-down", 1, 0, instances - 4),
         Lab.number(line, "sick", 0, 0, engines), Lab.number(line, "liars", 0, 0, instances),
         line.hasOption("collude"), lie, Lab.share(line, "loss", 0), Lab.share(line, "slow", 0),
         Lab.number(line, "join", 0, 0, 1_000), Lab.number(line, "seconds", 60, 1, 3_600),
         Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE), Lab.number(line, "cap", 4_096, 1_024, 1 << 20),
         Lab.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND);
-    Map<String, Object> figures = new VirtualRun(plan).play();
+    return tell(line, mode, plan, new VirtualRun(plan).play());
+  }
+
+  /** Real gateways on loopback: sick engines and junk; the other troubles are played in simulated time. */
+  private static int sockets(CommandLine line, int engines) throws Exception {
+    SocketRun.Plan plan = new SocketRun.Plan(Lab.number(line, "instances", 8, 1, 32), Math.max(1, engines),
+        Lab.number(line, "sick", 0, 0, Math.max(1, engines)), Lab.number(line, "junk", 0, 0, 50_000),
+        Lab.number(line, "seconds", 60, 4, 600), Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE));
+    Path folder = Files.createTempDirectory("reachloom-gossip");
+    try {
+      return tell(line, "sockets", plan, new SocketRun(plan, folder).play());
+    } finally {
+      try (var files = Files.walk(folder)) {
+        files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+      }
+    }
+  }
+
+  private static int tell(CommandLine line, String mode, Object plan, Map<String, Object> figures)
+      throws IOException {
     figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
     if (line.hasOption("json")) {
       Map<String, Object> whole = new LinkedHashMap<>();
-      whole.put("mode", "virtual");
+      whole.put("mode", mode);
       whole.put("plan", plan);
       whole.put("figures", figures);
       Files.writeString(Path.of(line.getOptionValue("json")),
--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -44,6 +44,11 @@
 
   /** Starts a gateway with that configuration. */
   public GatewayProcess(Path folder, String text) throws IOException {
+    this(folder, text, List.of());
+  }
+
+  /** Starts a gateway with that configuration and further words on its command line. */
+  public GatewayProcess(Path folder, String text, List<String> words) throws IOException {
     Matcher address = Pattern.compile("\"listen\":\"([0-9.]+):([0-9]+)\"").matcher(text);
     if (!address.find()) {
       throw new IllegalArgumentException("no address to listen at");
@@ -51,7 +56,9 @@
     listen = new InetSocketAddress(address.group(1), Integer.parseInt(address.group(2)));
     config = Files.writeString(folder.resolve("config.json"), text);
     log = folder.resolve("log" + System.nanoTime());
-    process = start(config, log, "serve");
+    List<String> all = new ArrayList<>(List.of("serve"));
+    all.addAll(words);
+    process = start(config, log, all.toArray(String[]::new));
   }
 
   public static Process start(Path config, Path log, String... words) throws IOException {
