A flood from one address no longer keeps operators and newcomers out

Seen: with 20,000 junk datagrams a second at one port, a third of them forged in a member's name, status got no answer: all addresses that are not members' shared one budget of 50 checks a second, and the forged ones took it.

Change: each such address has a budget of its own of 5 a second before the shared one. A test floods from one address and lets 20 others in; it fails without the change.

--- a/decisions/src/main/java/reachloom/gossip/Guard.java
+++ b/decisions/src/main/java/reachloom/gossip/Guard.java
@@ -15,13 +15,15 @@
   private static final long SECOND = 1_000_000_000; // nanoseconds
   private static final long CLOCKS_APART = 30 * SECOND; // of two instances; also how long a replay is of use
   private static final double MEMBER_RATE = 20; // checks a second for packets from one member's address
-  private static final double STRANGER_RATE = 50; // ... and for those from all other addresses together
+  private static final double SOURCE_RATE = 5; // ... from one other address
+  private static final double STRANGER_RATE = 50; // ... and from all other addresses together
   private static final double TOTAL_RATE = 250; // ... and at all
   private static final int MOST_SOURCES = 4_096;
   private static final int MOST_SENDERS = 4_096;
 
   private final Map<Refusal, Long> counts = new EnumMap<>(Refusal.class);
   private final Map<Long, TokenBucket> members = new LinkedHashMap<>();
+  private final Map<Long, TokenBucket> others = new LinkedHashMap<>(16, 0.75f, true);
   private final Map<String, Replay> senders = new LinkedHashMap<>(16, 0.75f, true);
   private final TokenBucket strangers = new TokenBucket(STRANGER_RATE, STRANGER_RATE);
   private final TokenBucket total = new TokenBucket(TOTAL_RATE, TOTAL_RATE);
@@ -40,18 +42,19 @@
     if (!known && !certified) {
       return refuse(Refusal.UNKNOWN);
     }
-    boolean room = ofMember ? bucket(source).take(now) : strangers.take(now);
+    boolean room = ofMember ? bucket(members, source, MEMBER_RATE).take(now)
+        : bucket(others, source, SOURCE_RATE).take(now) && strangers.take(now);
     return room && total.take(now) ? null : refuse(Refusal.BUDGET);
   }
 
-  private TokenBucket bucket(long source) {
-    TokenBucket b = members.get(source);
+  private static TokenBucket bucket(Map<Long, TokenBucket> of, long source, double rate) {
+    TokenBucket b = of.get(source);
     if (b == null) {
-      if (members.size() >= MOST_SOURCES) {
-        members.remove(members.keySet().iterator().next());
+      if (of.size() >= MOST_SOURCES) {
+        of.remove(of.keySet().iterator().next());
       }
-      b = new TokenBucket(MEMBER_RATE, MEMBER_RATE);
-      members.put(source, b);
+      b = new TokenBucket(rate, rate);
+      of.put(source, b);
     }
     return b;
   }
--- a/decisions/src/test/java/reachloom/gossip/GuardTest.java
+++ b/decisions/src/test/java/reachloom/gossip/GuardTest.java
@@ -55,6 +55,19 @@
     assertTrue(strangers <= 101, strangers + " signatures to check in a second");
   }
 
+  @Test
+  void aFloodFromOneAddressLeavesThoseWhoWantToJoinAlone() {
+    int joined = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += SECOND / 20_000;
+      guard.admit(now, 5, false, true, false, "p", now, i);
+      if (i % 1_000 == 0) {
+        joined += guard.admit(now, 100 + i, false, false, true, "new" + i, now, i) == null ? 1 : 0;
+      }
+    }
+    assertEquals(20, joined);
+  }
+
   @Test
   void oneMembersFloodIsItsOwn() {
     int taken = 0;
--- a/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
@@ -131,6 +131,7 @@
         flood.join();
       }
     } finally {
+      over = true;
       for (GatewayProcess g : gateways) {
         g.close();
       }
