--- a/decisions/src/main/java/reachloom/membership/Membership.java
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -35,10 +35,11 @@
   private static final int TICKS = 10; // in a period, at least: more than that late is a standstill
   private static final double STANDSTILL = 0.5; // of a period
   private static final int RECONNECT = 4; // periods between tries to reach one given up, or a seed
-  private static final double GREETERS = 2; // members that greet a newcomer without being asked, about
+  private static final double GREETERS = 4; // members that greet a newcomer without being asked, about
   private static final int MOST_DOUBLINGS = 1; // of the pause between two tries to join
   // periods between two rounds of bringing tables together, at most and on average
   private static final int SYNC = 12;
+  private static final int CROWD = 3; // newcomers after which tables are compared soon
   private static final int SETTLING = 15; // periods after which one that starts probes in any case
   private static final int MARK = 2; // bytes
   private static final int MOST_MEMBERS = 2_048; // held, the dead among them
@@ -92,6 +93,8 @@
   private String syncAfter = "";
   private boolean syncHungry;
   private int quietRounds;
+  /** Members that have come since the last question for tables. */
+  private int newcomers;
   private Member teller;
   private final long startedAt;
   /** Until it knows about whom it has to deal with, it asks nobody whether he is there. */
@@ -356,9 +359,10 @@
     meter.sent(now, out.send(now, m.name(), m.address, pull, List.of(), 0), 0);
     syncAfter = whole ? "" : last;
     pulled = true;
+    newcomers = 0;
     // Rounds that bring nothing new come less and less often; the others close upon each other.
     quietRounds = syncHungry ? 0 : quietRounds + (whole ? 1 : 0);
-    long pause = Math.min(SYNC, 1L << Math.min(quietRounds, Byte.SIZE)) * period;
+    long pause = Math.min(SYNC, 1L + quietRounds) * period;
     nextSyncAt = now + pause / 2 + random.nextLong(pause); // without an answer, too: there will be others
   }
 
@@ -533,6 +537,10 @@
     if (isNews) {
       rumours.add(m.news());
     }
+    if (++newcomers >= CROWD) { // where so many come, there are more than news can tell of in time
+      quietRounds = 0;
+      nextSyncAt = Math.min(nextSyncAt, now + period / 2 + random.nextLong(period));
+    }
     out.changed(now, m.news());
     return m;
   }
