--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -32,7 +32,7 @@
   public static final long SECOND = 1_000_000_000;
   private static final long MILLISECOND = 1_000_000;
   private static final long START = 1_700_000_000 * SECOND;
-  private static final int CERTIFICATE = 215; // bytes, what an Ed25519 certificate with names of ten characters takes
+  private static final int CERTIFICATE = 215; // bytes, as made for names of some ten characters
   private static final long DELAY = 2 * MILLISECOND;
 
   /** One instance. */
--- /dev/null
+++ b/lab/src/test/java/reachloom/gossip/net/DoorwayTest.java
@@ -0,0 +1,88 @@
+package reachloom.gossip.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reachloom.gossip.Packet;
+import reachloom.gossip.Refusal;
+import reachloom.gossip.wire.GossipCodec;
+import reachloom.lab.gossip.Installation;
+import reachloom.membership.Message;
+
+/** What the doorway takes as time passes, with a clock handed in. */
+class DoorwayTest {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final long DAY = 24 * 60 * 60 * 1_000L; // milliseconds
+
+  @TempDir
+  Path folder;
+
+  private Installation installation;
+  private Identity sender;
+  private Doorway doorway;
+  private long seq = 1;
+
+  @BeforeEach
+  void make() throws Exception {
+    installation = new Installation(folder);
+    installation.instance("g1", "ca", 30);
+    installation.instance("g2", "ca", 3);
+    sender = identity("g2");
+    doorway = new Doorway(Installation.CLUSTER, identity("g1"));
+  }
+
+  private Identity identity(String name) throws Exception {
+    return Identity.read(
+        installation.settings(name, Installation.freeAddress(), 1, 1, List.of(), "ca"));
+  }
+
+  private byte[] datagram(long time, boolean certified) throws Exception {
+    byte[] unsigned = GossipCodec.write(GossipCodec.cluster(Installation.CLUSTER),
+        new Packet("g2", 1, 1, new Message.Tell(), List.of(), List.of()), seq++, time,
+        certified ? sender.certificate() : null, false);
+    byte[] whole = Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
+    System.arraycopy(sender.sign(unsigned), 0, whole, unsigned.length, GossipCodec.SIGNATURE);
+    return whole;
+  }
+
+  private Doorway.Entered enter(long time, byte[] bytes) {
+    return doorway.enter(time * MILLISECOND, 7, bytes);
+  }
+
+  @Test
+  void aCertificateThatExpiresWhileRunningIsNoLongerTaken() throws Exception {
+    long now = System.currentTimeMillis();
+    assertNotNull(enter(now, datagram(now, true)));
+    assertTrue(doorway.knows("g2"));
+    assertNotNull(enter(now, datagram(now, false)), "it is known, and need not bring it again");
+    long later = now + 4 * DAY;
+    assertNull(enter(later, datagram(later, false)));
+    assertNull(enter(later, datagram(later, true)));
+    assertEquals(2L, doorway.refused().get(Refusal.CERTIFICATE));
+  }
+
+  @Test
+  void tornAtEachByteOrChangedInAnyNothingGetsIn() throws Exception {
+    long now = System.currentTimeMillis();
+    assertNotNull(enter(now, datagram(now, true)));
+    byte[] good = datagram(now, false);
+    for (int length = 0; length < good.length; length++) {
+      now += 250; // the budget fills
+      assertNull(enter(now, Arrays.copyOf(good, length)));
+    }
+    for (int i = 0; i < good.length; i++) {
+      now += 250;
+      byte[] changed = good.clone();
+      changed[i] ^= 1;
+      assertNull(enter(now, changed), "byte " + i);
+    }
+  }
+}
