--- a/decisions/src/main/java/reachloom/membership/Membership.java
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -30,6 +30,7 @@
   private static final double DIRECT_SHARE = 0.4; // of a period, for a member's own answer
   private static final double RELAY_SHARE = 0.3; // ... and for a relay's word on its way back
   private static final int RELAYS = 3; // k of SWIM: others that are asked to ask
+  private static final int LAST_ASKS = 2; // own questions to one whose time is up
   private static final int RETOLD = 2; // suspects told again in a period
   private static final int MOST_RELAYED = 64; // questions that others have put through this one
   private static final int TICKS = 10; // in a period, at least: more than that late is a standstill
@@ -297,10 +298,20 @@
     }
   }
 
+  /**
+   * Nobody is given up by one that has not asked it itself, and told it what it is accused of: where its
+   * objection was on its way round but had not come here, it comes now. A real crash is known some periods
+   * later for it.
+   */
   private void judgeSuspects(long now) {
-    for (Member m : members.values()) {
-      if (m.suspicion != null && now >= m.suspicion.until()) {
+    for (Member m : List.copyOf(members.values())) {
+      if (m.suspicion == null || now < m.suspicion.until()) {
+        continue;
+      }
+      if (m.suspicion.lastAsks() >= LAST_ASKS) {
         turn(now, m, State.DEAD, m.incarnation);
+      } else if (send(now, Use.PROBE, m.name(), m.address, new Message.Ping(seq++, m.name()))) {
+        m.suspicion.asked(now + health.stretch(period));
       }
     }
   }
--- a/decisions/src/main/java/reachloom/membership/Suspicion.java
+++ b/decisions/src/main/java/reachloom/membership/Suspicion.java
@@ -8,14 +8,16 @@
  * shortens it, down to a least time that is enough for a refutation to get round (Lifeguard, section IV-B).
  */
 final class Suspicion {
-  // periods for each decade of members, memberlist's usual figure
-  private static final double LEAST_FACTOR = 4;
+  // periods for each decade of members; what follows, the last questions, makes up for memberlist's fourth
+  private static final double LEAST_FACTOR = 3;
   private static final double MOST_FACTOR = 6; // ... and the longest time in least times
   private static final int ACCUSERS = 2; // further accusers that shorten it to the least
 
   private final Set<String> accusers = new LinkedHashSet<>();
   private final long least;
   private long startedAt;
+  private int lastAsks;
+  private long askedUntil;
 
   Suspicion(long now, long period, int members, String accuser) {
     startedAt = now;
@@ -36,7 +38,18 @@
   /** When its time is up. */
   long until() {
     double part = Math.log(accusers.size()) / Math.log(ACCUSERS + 1);
-    return startedAt + (long) (least * (MOST_FACTOR - (MOST_FACTOR - 1) * part));
+    long time = startedAt + (long) (least * (MOST_FACTOR - (MOST_FACTOR - 1) * part));
+    return Math.max(time, askedUntil);
+  }
+
+  /** It has been asked once more, and has until then to answer. */
+  void asked(long until) {
+    lastAsks++;
+    askedUntil = until;
+  }
+
+  int lastAsks() {
+    return lastAsks;
   }
 
   long least() {
--- a/decisions/src/test/java/reachloom/membership/MembershipTest.java
+++ b/decisions/src/test/java/reachloom/membership/MembershipTest.java
@@ -184,10 +184,41 @@
     return sent.get(sent.size() - 1);
   }
 
+  @Test
+  void whoIsAccusedHereIsToldSoAtOnce() {
+    join("a", "b", "c", "d");
+    passAnswering(30 * SECOND, "d");
+    int at = sent.indexOf(sent.stream().filter(s -> s.to().equals("d") && !s.news().isEmpty()
+        && s.news().get(0).member().equals("d") && s.news().get(0).state() == State.SUSPECT).findFirst()
+        .orElseThrow());
+    News accusation = changes.stream().filter(n -> n.state() == State.SUSPECT).findFirst().orElseThrow();
+    long accused = sent.stream().filter(s -> s.news().contains(accusation)).findFirst().orElseThrow().at();
+    assertTrue(sent.get(at).at() - accused <= 2 * SECOND, "within two periods");
+    long told = sent.stream().filter(s -> s.to().equals("d") && s.message() instanceof Message.Ping
+        && s.at() >= accused).count();
+    assertTrue(told >= 5, told + " times");
+  }
+
+  @Test
+  void nobodyIsGivenUpUnaskedAndAnObjectionStillCounts() {
+    join("a", "b", "c", "d");
+    for (String accuser : new String[] {"b", "c", "d"}) {
+      hear(accuser, new Message.Ack(-1), news("a", 0, State.SUSPECT, accuser));
+    }
+    pass(3 * SECOND - SECOND / 5);
+    sent.clear();
+    pass(SECOND / 2);
+    Sent question = sent.stream().filter(s -> s.to().equals("a")).findFirst().orElseThrow();
+    assertEquals(State.SUSPECT, question.news().get(0).state());
+    me.receive(now, "a", address("a"), START / SECOND + 1, new Message.Ack(-1), List.of());
+    pass(5 * SECOND);
+    assertEquals(State.ALIVE, state("a"));
+  }
+
   @Test
   void noIncarnationFromTheFutureLeavesNoNumberToObjectWith() {
     join("a", "b");
-    hear("b", new Message.Ack(-1), new News("a", 5, Long.MAX_VALUE, State.SUSPECT, "b"));
+    hear("b", new Message.Ack(-1), new News("a", 5, START / SECOND + 100, State.SUSPECT, "b"));
     assertEquals(State.ALIVE, state("a"));
     long before = me.incarnation();
     hear("b", new Message.Ack(-1), new News("me", 5, Long.MAX_VALUE, State.DEAD, "b"));
