The test of liars found out together fails without the grouping

Cause: a second judgement within the test lowered the liars' standing so far that they failed alone; taking the grouping out went unnoticed. Change: they are weighed before that.

--- a/decisions/src/test/java/reachloom/evidence/CorroborationTest.java
+++ b/decisions/src/test/java/reachloom/evidence/CorroborationTest.java
@@ -127,7 +127,6 @@
   @Test
   void liarsThatAgreeCountAsOneOnceTheyHaveBeenFoundOut() {
     slander("e1", 1, "x", "y", "z"); // their standing would still do
-    now += SECOND;
     for (String p : new String[] {"x", "y", "z"}) {
       claim(p, "e2", 0, 50); // another engine, of which nothing is seen here
     }
