Shared evidence over the simulator's messages, at the platform's price

Change: benchlink.Neighbours carries Ledger and Corroboration over Publish and NeighbourSays: trouble only, ten bytes a claim, to two instances drawn by chance and twice a second at most, as the pure Courier decides by the price.

--- a/gateway/src/main/java/reachloom/benchlink/ActionWriter.java
+++ b/gateway/src/main/java/reachloom/benchlink/ActionWriter.java
@@ -80,6 +80,14 @@
     write("JournalLine", () -> out.writeStringField("words", line));
   }
 
+  /** A message to another instance. */
+  void publish(int peer, byte[] message) {
+    write("Publish", () -> {
+      out.writeNumberField("peer", peer);
+      out.writeBinaryField("raw", message);
+    });
+  }
+
   void bailOut(String cause) {
     write("BailOut", () -> out.writeStringField("words", cause));
   }
--- a/gateway/src/main/java/reachloom/benchlink/BenchLink.java
+++ b/gateway/src/main/java/reachloom/benchlink/BenchLink.java
@@ -53,7 +53,8 @@
     Events create(Actions actions);
   }
 
-  private record Instance(Events events, ActionWriter actions) {
+  /** Neighbours are null where instances may not talk. */
+  private record Instance(Events events, ActionWriter actions, Neighbours neighbours) {
   }
 
   /** A link whose instances each hold a {@link Choice}. */
@@ -143,7 +144,7 @@
     }
     if (name.equals("NewInstance")) {
       ActionWriter writer = new ActionWriter(id);
-      instance = new Instance(factory.create(writer), writer);
+      instance = instance(item, factory.create(writer), writer);
       instances.put(id, instance);
     }
     if (instance == null) {
@@ -151,7 +152,10 @@
     }
     instance.actions().writeTo(reply);
     try {
-      deliver(now, name, item, instance.events());
+      deliver(now, name, item, instance.events(), instance.neighbours());
+      if (instance.neighbours() != null && name.equals("DeadlineHit")) {
+        instance.neighbours().look(now);
+      }
     } catch (RuntimeException e) {
       err.println("reachloom: " + id + " failed on " + name);
       e.printStackTrace(err);
@@ -160,21 +164,36 @@
     }
   }
 
-  private void deliver(long now, String name, JsonNode item, Events events) throws MalformedBatchException {
+  private static Instance instance(JsonNode item, Events events, ActionWriter writer) {
+    JsonNode info = item.path("bootInfo");
+    Neighbours others = !info.path("limits").path("peers").asBoolean() ? null
+        : new Neighbours(events, writer, info.path("selfIndex").asInt(), info.path("balancers").asInt(),
+            info.path("deductions").path("peer").asDouble(), item.path("entropy").asLong());
+    return new Instance(events, writer, others);
+  }
+
+  private void deliver(long now, String name, JsonNode item, Events events, Neighbours others)
+      throws MalformedBatchException {
     switch (name) {
       case "NewInstance" ->
           events.start(now, item.path("entropy").asLong(), SettingsReader.read(item.path("bootInfo")));
-      case "BackendsChanged" -> engines(now, item, events);
+      case "BackendsChanged" -> engines(now, item, events, others);
       case "Order" -> events.arrive(now, query(item, name));
       case "Started" -> events.streaming(now, text(item, "handle", name), item.path("sendNo").asInt());
       case "Progress" -> events.note(now, new Note(text(item, "handle", name), item.path("sendNo").asInt(),
           item.path("node").asText(), noteKind(item), item.path("amount").asDouble()));
-      case "Finished" -> events.end(now, attemptEnd(item, name));
+      case "Finished" -> {
+        AttemptEnd end = attemptEnd(item, name);
+        if (others != null) {
+          others.ended(now, end);
+        }
+        events.end(now, end);
+      }
       case "Left" -> events.leave(now, text(item, "handle", name));
       case "DeadlineHit" -> events.wake(now, item.path("nonce").asLong());
       case "ProbeResult" -> events.probed(now, text(item, "node", name),
           "S".equals(item.path("ending").asText()), report(item.path("telemetry")));
-      case "NeighbourSays" -> { } // the module sends none, and expects none
+      case "NeighbourSays" -> neighbourSays(now, item, others);
       default -> {
         if (unknownEvents.add(name)) {
           err.println("reachloom: event '" + name + "' is not known and skipped");
@@ -183,7 +202,18 @@
     }
   }
 
-  private void engines(long now, JsonNode item, Events events) throws MalformedBatchException {
+  private static void neighbourSays(long now, JsonNode item, Neighbours others) {
+    try {
+      if (others != null) {
+        others.heard(now, item.path("neighbour").asInt(), item.path("raw").binaryValue());
+      }
+    } catch (IOException e) {
+      throw new IllegalArgumentException("'raw' is not base64", e);
+    }
+  }
+
+  private void engines(long now, JsonNode item, Events events, Neighbours others)
+      throws MalformedBatchException {
     String how = text(item, "how", "BackendsChanged");
     if (how.equals("unavailable")) {
       events.listUnavailable(now);
@@ -193,6 +223,9 @@
     if (entries == null) {
       throw new MalformedBatchException("list " + item.path("sheet") + " was never defined");
     }
+    if (others != null) {
+      others.engines(!how.equals("update"), entries);
+    }
     events.engines(now, !how.equals("update"), entries);
   }
 
--- /dev/null
+++ b/gateway/src/main/java/reachloom/benchlink/Neighbours.java
@@ -0,0 +1,141 @@
+package reachloom.benchlink;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Outcome;
+import reachloom.evidence.Claim;
+import reachloom.evidence.Corroboration;
+import reachloom.evidence.Corroboration.Belief;
+import reachloom.evidence.Courier;
+import reachloom.evidence.Ledger;
+
+/** Carries shared evidence over the simulator's messages between instances; decides nothing. */
+final class Neighbours {
+  private static final int MOST_BYTES = 256; // of a message, as the wire has it
+  private static final int CLAIM = 4 + 2 + 2 + 2; // bytes: engine, failed, lost, age
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final long REVIEW = 250 * MILLISECOND;
+
+  private final Events module;
+  private final ActionWriter actions;
+  private final Ledger ledger = new Ledger();
+  private final Corroboration corroboration = new Corroboration(ledger);
+  private final Courier courier;
+  private final Map<String, Long> engines = new LinkedHashMap<>();
+  private final Map<Integer, String> byMark = new LinkedHashMap<>();
+  private final Map<String, Double> told = new LinkedHashMap<>();
+  private long nextReview;
+
+  Neighbours(Events module, ActionWriter actions, int self, int instances, double price, long seed) {
+    this.module = module;
+    this.actions = actions;
+    courier = new Courier(self, instances, price, new SplittableRandom(seed));
+  }
+
+  void engines(boolean whole, List<EngineInfo> entries) {
+    if (whole) {
+      engines.clear();
+      byMark.clear();
+    }
+    for (EngineInfo e : entries) {
+      Long old = e.state() == EngineState.GONE ? engines.remove(e.name()) : engines.put(e.name(), e.since());
+      if (old != null) { // a process that has started anew inherits nothing of the one before
+        byMark.remove(mark(e.name(), old));
+      }
+      if (e.state() != EngineState.GONE) {
+        byMark.put(mark(e.name(), e.since()), e.name());
+      }
+    }
+  }
+
+  private static int mark(String engine, long since) {
+    CRC32C sum = new CRC32C();
+    sum.update(engine.getBytes(StandardCharsets.UTF_8));
+    sum.update(ByteBuffer.allocate(Long.BYTES).putLong(since).flip());
+    return (int) sum.getValue();
+  }
+
+  void ended(long now, AttemptEnd end) {
+    Ledger.Seen seen = switch (end.outcome()) {
+      case SERVED -> Ledger.Seen.SERVED;
+      case ERROR, RESET, UNREACHED -> Ledger.Seen.FAILED;
+      case TIMEOUT -> Ledger.Seen.LOST;
+      case CANCELLED -> end.over() ? null : Ledger.Seen.LOST;
+      case FULL, NOT_SENT -> null;
+    };
+    Long since = engines.get(end.engine());
+    if (seen != null && since != null && !(end.over() && end.outcome() != Outcome.SERVED)) {
+      ledger.note(now, end.engine(), since, seen);
+      courier.seen(seen);
+    }
+  }
+
+  /** Time has passed: tells others, and the module what others told. */
+  void look(long now) {
+    List<Integer> receivers = courier.receivers(now);
+    if (!receivers.isEmpty()) {
+      byte[] message = message(now);
+      if (message.length > 0) {
+        receivers.forEach(r -> actions.publish(r, message));
+      }
+    }
+    if (now < nextReview) {
+      return;
+    }
+    nextReview = now + REVIEW;
+    Map<String, Double> levels = new LinkedHashMap<>();
+    for (Belief b : corroboration.review(now, engines)) {
+      levels.put(b.engine(), b.level());
+    }
+    for (String engine : new ArrayList<>(told.keySet())) {
+      if (!levels.containsKey(engine)) {
+        told.remove(engine);
+        module.hearsay(now, engine, 0);
+      }
+    }
+    levels.forEach((engine, level) -> {
+      if (!level.equals(told.put(engine, level))) {
+        module.hearsay(now, engine, level);
+      }
+    });
+  }
+
+  private byte[] message(long now) {
+    ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+    for (Claim c : ledger.tell(now, MOST_BYTES / CLAIM)) {
+      if (c.served() == 0) { // trouble alone is worth its price
+        out.putInt(mark(c.engine(), c.since())).putShort((short) Math.min(Short.MAX_VALUE, c.failed()))
+            .putShort((short) Math.min(Short.MAX_VALUE, c.lost()))
+            .putShort((short) Math.min(Short.MAX_VALUE, c.age() / MILLISECOND));
+      }
+    }
+    byte[] message = new byte[out.position()];
+    out.flip().get(message);
+    return message;
+  }
+
+  void heard(long now, int from, byte[] message) {
+    ByteBuffer in = ByteBuffer.wrap(message);
+    List<Claim> claims = new ArrayList<>();
+    while (in.remaining() >= CLAIM) {
+      String engine = byMark.get(in.getInt());
+      int failed = in.getShort();
+      int lost = in.getShort();
+      long age = in.getShort() * MILLISECOND;
+      if (engine != null) {
+        claims.add(new Claim(engine, engines.get(engine), 0, failed, lost, age));
+      }
+    }
+    corroboration.hear(now, Integer.toString(from), claims);
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/reachloom/benchlink/NeighboursTest.java
@@ -0,0 +1,110 @@
+package reachloom.benchlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reachloom.Choice;
+
+/**
+ * Shared evidence over the simulator's messages: what goes out, what comes of it, and engines that start
+ * anew.
+ */
+class NeighboursTest {
+  private static final long SECOND = 1_000_000_000;
+  private final List<String> batches = new ArrayList<>();
+
+  private void batch(long at, String... items) {
+    batches.add("{\"moment\":" + at + ",\"batch\":" + (batches.size() + 1) + ",\"items\":["
+        + String.join(",", items) + "]}");
+  }
+
+  private static String start(int self, boolean peers, double price) {
+    return "{\"cmd\":\"NewInstance\",\"gatewayId\":\"g" + self + "\",\"entropy\":1,\"bootInfo\":{"
+        + "\"balancers\":3,\"selfIndex\":" + self + ",\"limits\":{\"peers\":" + peers
+        + ",\"maxAttempts\":3},\"deductions\":{\"peer\":" + price + "},\"classes\":["
+        + "{\"effect\":\"repeatable\",\"dedupScope\":\"all\",\"giveUp\":5000000000,"
+        + "\"goalTime\":1000000000,\"worth\":1}]}}";
+  }
+
+  private static String list(int sheet, long since, String state) {
+    return "{\"cmd\":\"DefineList\",\"sheet\":" + sheet + ",\"hosts\":[{\"node\":\"e\",\"state\":\"" + state
+        + "\",\"since\":" + since + "}]}";
+  }
+
+  private static String changed(int sheet, String how) {
+    return "{\"cmd\":\"BackendsChanged\",\"gatewayId\":\"g0\",\"how\":\"" + how + "\",\"sheet\":" + sheet
+        + "}";
+  }
+
+  private static String wake() {
+    return "{\"cmd\":\"DeadlineHit\",\"gatewayId\":\"g0\",\"nonce\":0}";
+  }
+
+  private static String query(int number, String ending) {
+    String id = String.format("%016x", number);
+    return "{\"cmd\":\"Order\",\"gatewayId\":\"g0\",\"handle\":\"" + id + "\",\"patienceLeft\":5000000000},"
+        + "{\"cmd\":\"Finished\",\"gatewayId\":\"g0\",\"handle\":\"" + id + "\",\"node\":\"e\",\"sendNo\":0,"
+        + "\"ending\":\"" + ending + "\",\"spent\":1000000}";
+  }
+
+  private List<JsonNode> published() throws Exception {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    ByteArrayOutputStream err = new ByteArrayOutputStream();
+    byte[] in = (String.join("\n", batches) + "\n").getBytes(StandardCharsets.UTF_8);
+    BenchLinkProbe.serve(Choice::new, new ByteArrayInputStream(in), out, new PrintStream(err, true));
+    assertEquals("", err.toString());
+    List<JsonNode> sent = new ArrayList<>();
+    for (String line : out.toString(StandardCharsets.UTF_8).split("\n")) {
+      assertFalse(line.contains("BailOut"), line);
+      new ObjectMapper().readTree(line).path("actions").forEach(a -> {
+        if (a.path("cmd").asText().equals("Publish")) {
+          sent.add(a);
+        }
+      });
+    }
+    batches.clear();
+    return sent;
+  }
+
+  private void trouble(boolean peers, double price) {
+    batch(SECOND, list(1, 0, "up"), start(0, peers, price), changed(1, "full"));
+    batch(2 * SECOND, query(1, "T"));
+    batch(2 * SECOND + 1, query(2, "T"));
+    batch(3 * SECOND, wake());
+  }
+
+  @Test
+  void troubleIsToldWhereMessagesAreAllowedAndWorthTheirPrice() throws Exception {
+    trouble(true, 0.01);
+    List<JsonNode> sent = published();
+    assertTrue(!sent.isEmpty() && sent.size() <= 2, sent.toString());
+    assertTrue(sent.get(0).path("peer").asInt() > 0, "not to itself");
+    assertTrue(sent.get(0).path("raw").binaryValue().length <= 256);
+    trouble(false, 0.01);
+    assertEquals(List.of(), published());
+    trouble(true, 1);
+    assertEquals(List.of(), published());
+  }
+
+  @Test
+  void anEngineThatStartedAnewAndOneThatIsGoneAreNoNewsOfTheOneBefore() throws Exception {
+    trouble(true, 0.01);
+    String raw = published().get(0).path("raw").asText();
+    String said = "{\"cmd\":\"NeighbourSays\",\"gatewayId\":\"g0\",\"neighbour\":1,\"raw\":\"" + raw + "\"}";
+    batch(SECOND, list(1, 0, "up"), start(0, true, 0.01), changed(1, "full"));
+    batch(2 * SECOND, list(2, SECOND, "up"), changed(2, "update"), said, wake());
+    batch(3 * SECOND, list(3, SECOND, "removed"), changed(3, "update"), said, wake());
+    batch(4 * SECOND, "{\"cmd\":\"NeighbourSays\",\"gatewayId\":\"g0\",\"neighbour\":2,\"raw\":\"AAAA\"}");
+    assertEquals(List.of(), published());
+  }
+}
