--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -41,6 +41,7 @@
         .addOption(null, "slow", true, "share of instances up to half a period late (0)")
         .addOption(null, "join", true, "instances that join at once (0)")
         .addOption(null, "seconds", true, "time after the crashes (60)")
+        .addOption(null, "rate", true, "queries a second at each instance (20)")
         .addOption(null, "cap", true, "bytes a second of each instance (4096)")
         .addOption(null, "period-ms", true, "time between two probes (1000)")
         .addOption(null, "seed", true, "for all that is drawn (1)")
@@ -70,7 +71,8 @@
         line.hasOption("collude"), lie, Lab.share(line, "loss", 0), Lab.share(line, "slow", 0),
         Lab.number(line, "join", 0, 0, 1_000), Lab.number(line, "seconds", 60, 1, 3_600),
         Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE), Lab.number(line, "cap", 4_096, 1_024, 1 << 20),
-        Lab.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND);
+        Lab.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND,
+        Lab.number(line, "rate", 20, 1, 2_000));
     return tell(line, mode, plan, new VirtualRun(plan).play());
   }
 
