--- a/decisions/src/main/java/reachloom/evidence/Courier.java
+++ b/decisions/src/main/java/reachloom/evidence/Courier.java
@@ -11,7 +11,7 @@
 public final class Courier {
   private static final long GAP = 500_000_000; // nanoseconds between two rounds of messages
   private static final int RECEIVERS = 2; // of one round
-  /** Of bytes, over 256 for each query. At 0.0088 and 0.026 what was gained is within noise: only free ones. */
+  /** Of bytes, over 256 for each query: at 0.0088 and 0.026 the gain is within noise, so free ones only. */
   private static final double MOST_PRICE = 0;
 
   private final int self;
