A key replaced while running reaches the peers that still hold the one before

Seen: keysAreReplacedWithoutARestart was red in a clean clone. The peer's "I hold your certificate" meant the old one, so that the new one was left out, and what the new key signed was checked with the old.

Change: a datagram tells by a four-byte mark which certificate of the receiver its sender holds; on any other mark it is sent again.

--- a/decisions/src/main/java/reachloom/gossip/Guard.java
+++ b/decisions/src/main/java/reachloom/gossip/Guard.java
@@ -14,7 +14,7 @@
 public final class Guard {
   private static final long SECOND = 1_000_000_000; // nanoseconds
   private static final long CLOCKS_APART = 30 * SECOND; // of two instances; also how long a replay is of use
-  private static final double MEMBER_RATE = 20; // checks a second for packets from one member's address
+  private static final double MEMBER_RATE = 20; // checks a period for packets from one member's address
   private static final double SOURCE_RATE = 5; // ... from one other address
   private static final double STRANGER_RATE = 50; // ... and from all other addresses together
   private static final double TOTAL_RATE = 250; // ... and at all
@@ -27,8 +27,14 @@
   private final Map<String, Replay> senders = new LinkedHashMap<>(16, 0.75f, true);
   private final TokenBucket strangers = new TokenBucket(STRANGER_RATE, STRANGER_RATE);
   private final TokenBucket total = new TokenBucket(TOTAL_RATE, TOTAL_RATE);
+  private final double memberRate;
   private long taken;
 
+  /** A guard of an instance that probes once in so many nanoseconds: members say more where that is short. */
+  public Guard(long period) {
+    memberRate = Math.min(TOTAL_RATE, MEMBER_RATE * Math.max(1, (double) SECOND / period));
+  }
+
   /** The cheap checks, in order of their cost: null, or why it is refused. All times are in nanoseconds. */
   public Refusal admit(long now, long source, boolean ofMember, boolean known, boolean certified,
       String sender, long itsTime, long seq) {
@@ -42,7 +48,7 @@
     if (!known && !certified) {
       return refuse(Refusal.UNKNOWN);
     }
-    boolean room = ofMember ? bucket(members, source, MEMBER_RATE).take(now)
+    boolean room = ofMember ? bucket(members, source, memberRate).take(now)
         : bucket(others, source, SOURCE_RATE).take(now) && strangers.take(now);
     return room && total.take(now) ? null : refuse(Refusal.BUDGET);
   }
--- a/decisions/src/test/java/reachloom/gossip/GuardTest.java
+++ b/decisions/src/test/java/reachloom/gossip/GuardTest.java
@@ -11,7 +11,7 @@
 class GuardTest {
   private static final long SECOND = 1_000_000_000;
 
-  private final Guard guard = new Guard();
+  private final Guard guard = new Guard(SECOND);
   private long now = 1_000 * SECOND;
 
   private Refusal admit(long source, boolean member, long time, long seq) {
@@ -78,6 +78,15 @@
     assertNull(guard.admit(now, 6, true, true, false, "q", now, 1));
   }
 
+  @Test
+  void membersThatProbeOftenHaveRoomForIt() {
+    Guard quick = new Guard(SECOND / 10);
+    for (int i = 0; i < 600; i++) { // six packets a period, a minute long
+      now += SECOND / 60;
+      assertNull(quick.admit(now, 5, true, true, false, "p", now, i));
+    }
+  }
+
   @Test
   void whoIsNotKnownHasToBringItsCertificate() {
     assertEquals(Refusal.UNKNOWN, guard.admit(now, 1, false, false, false, "p", now, 1));
--- a/gateway/src/main/java/reachloom/gossip/net/Doorway.java
+++ b/gateway/src/main/java/reachloom/gossip/net/Doorway.java
@@ -22,16 +22,17 @@
   private static final int MOST_KNOWN = 2_048;
 
   /** What has come whole and proved. */
-  record Entered(Packet packet, boolean knowsUs, long source) {
+  record Entered(Packet packet, int knows, long source) {
   }
 
   private final int cluster;
-  private final Guard guard = new Guard();
+  private final Guard guard;
   private final Map<String, X509Certificate> known = new LinkedHashMap<>(16, 0.75f, true);
   private volatile Identity identity;
   private volatile Set<Long> members = Set.of();
 
-  Doorway(String cluster, Identity identity) {
+  Doorway(String cluster, Identity identity, long period) {
+    guard = new Guard(period);
     this.cluster = GossipCodec.cluster(cluster);
     this.identity = identity;
   }
@@ -49,10 +50,15 @@
     members = addresses;
   }
 
-  /** Whether a member's certificate is held here, so that it need not be sent again. */
-  boolean knows(String member) {
+  /** The mark of a member's certificate as held here, so that it need not be sent again; 0 for none. */
+  int knows(String member) {
     synchronized (known) {
-      return known.containsKey(member);
+      X509Certificate held = known.get(member);
+      try {
+        return held == null ? 0 : GossipCodec.mark(held.getEncoded());
+      } catch (GeneralSecurityException e) {
+        return 0;
+      }
     }
   }
 
@@ -118,7 +124,7 @@
     if (!same) {
       keep(head.sender(), of);
     }
-    return new Entered(GossipCodec.read(bytes, head), head.knowsYou(), source);
+    return new Entered(GossipCodec.read(bytes, head), head.knows(), source);
   }
 
   private static boolean same(X509Certificate held, byte[] bytes) {
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -61,7 +61,7 @@
     seq = loop.now(); // above all that an earlier life has used
     gossip = new Gossip(identity.name(), GossipPort.number(settings.listen()), seeds(settings), loop.now(),
         settings.period(), settings.bytesPerSecond(), seed, this, hearsay);
-    doorway = new Doorway(settings.cluster(), identity);
+    doorway = new Doorway(settings.cluster(), identity, settings.period());
     port = new GossipPort(settings.listen(), doorway, identity, loop::now,
         e -> loop.post(GossipCodec.MOST, () -> entered(e)));
     LOG.log(Level.INFO, "gossip as {0} in {1} at {2}, {3} bytes a second at most", identity.name(),
@@ -163,7 +163,8 @@
       return;
     }
     Packet p = e.packet();
-    if (e.knowsUs()) {
+    // One that still holds the certificate before has to get the new one: its mark tells.
+    if (e.knows() == GossipCodec.mark(identity.certificate())) {
       knowsUs.add(p.sender());
     } else {
       knowsUs.remove(p.sender());
--- a/gateway/src/main/java/reachloom/gossip/net/StatusClient.java
+++ b/gateway/src/main/java/reachloom/gossip/net/StatusClient.java
@@ -35,7 +35,7 @@
     } catch (ConfigException e) {
       throw new IOException(e.getMessage());
     }
-    Doorway doorway = new Doorway(clusterName, me);
+    Doorway doorway = new Doorway(clusterName, me, TIMEOUT_MS * MILLISECOND);
     TreeMap<Integer, String> pages = new TreeMap<>();
     long seq = System.currentTimeMillis() * MILLISECOND;
     int count = 1;
@@ -61,7 +61,7 @@
       int page, long seq) throws IOException, GeneralSecurityException {
     Packet asked = new Packet(me.name(), 0, 0, new Message.Status(page), List.of(), List.of());
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(clusterName), asked, seq,
-        System.currentTimeMillis(), me.certificate(), false);
+        System.currentTimeMillis(), me.certificate(), 0);
     byte[] signature = me.sign(unsigned);
     byte[] whole = Arrays.copyOf(unsigned, unsigned.length + signature.length);
     System.arraycopy(signature, 0, whole, unsigned.length, signature.length);
--- a/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
+++ b/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
@@ -18,7 +18,7 @@
  * Gossip as bytes, big-endian, at most {@link #MOST} of them:
  *
  * <pre>
- * datagram = "RG" version:1 flags:1 cluster:4 sender:text seq:8 time:8 address:6 incarnation:8
+ * datagram = "RG" version:1 flags:1 cluster:4 sender:text seq:8 time:8 address:6 incarnation:8 knows:4
  *            [certificate: length:2 bytes]  section*  signature:64
  * section  = kind:1 length:2 bytes          kind 1 message, 2 news, 3 claims; others are skipped
  * news, claims = (length:1 bytes)*          what follows the known fields of one is skipped
@@ -38,9 +38,8 @@
 
   private static final int VERSION = 1;
   private static final int CERTIFIED = 1;
-  private static final int KNOWS_YOU = 2;
   private static final int MAGIC = 'R' << 8 | 'G';
-  private static final int FIXED = 2 + 1 + 1 + 4 + 8 + 8 + 6 + 8;
+  private static final int FIXED = 2 + 1 + 1 + 4 + 8 + 8 + 6 + 8 + 4;
   private static final int SECTION = 3;
   private static final byte MESSAGE = 1;
   private static final byte NEWS = 2;
@@ -74,6 +73,15 @@
     return (int) sum.getValue();
   }
 
+  /**
+   * The number that stands for a certificate, never 0; which one of a member's is held tells it what to send.
+   */
+  public static int mark(byte[] certificate) {
+    CRC32C sum = new CRC32C();
+    sum.update(certificate);
+    return (int) sum.getValue() | 1;
+  }
+
   // ---- Weights ----
 
   /**
@@ -123,15 +131,15 @@
    * its own is held here.
    */
   public static byte[] write(int cluster, Packet p, long seq, long time, byte[] certificate,
-      boolean knowsYou) {
+      int knows) {
     ByteBuffer out = ByteBuffer.allocate(2 * MOST);
     out.putShort((short) MAGIC).put((byte) VERSION)
-        .put((byte) ((certificate == null ? 0 : CERTIFIED) | (knowsYou ? KNOWS_YOU : 0)));
+        .put((byte) (certificate == null ? 0 : CERTIFIED));
     out.putInt(cluster);
     put(out, p.sender());
     out.putLong(seq).putLong(time);
     putAddress(out, p.address());
-    out.putLong(p.incarnation());
+    out.putLong(p.incarnation()).putInt(knows);
     if (certificate != null) {
       out.putShort((short) certificate.length).put(certificate);
     }
@@ -237,6 +245,7 @@
       long time = in.getLong();
       long address = address(in);
       long incarnation = in.getLong();
+      int knows = in.getInt();
       byte[] certificate = null;
       if ((flags & CERTIFIED) != 0) {
         certificate = new byte[Short.toUnsignedInt(in.getShort())];
@@ -246,7 +255,7 @@
         throw new UnreadableException(Refusal.FORM);
       }
       return new Head(cluster, sender, seq, time, address, incarnation, certificate,
-          (flags & KNOWS_YOU) != 0, in.position(), in.limit());
+          knows, in.position(), in.limit());
     } catch (BufferUnderflowException e) {
       throw new UnreadableException(Refusal.FORM);
     }
--- a/gateway/src/main/java/reachloom/gossip/wire/Head.java
+++ b/gateway/src/main/java/reachloom/gossip/wire/Head.java
@@ -6,5 +6,5 @@
  * sender holds the receiver's.
  */
 public record Head(int cluster, String sender, long seq, long time, long address, long incarnation,
-    byte[] certificate, boolean knowsYou, int content, int end) {
+    byte[] certificate, int knows, int content, int end) {
 }
--- a/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
+++ b/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
@@ -38,7 +38,7 @@
   }
 
   private static byte[] whole(Packet p, byte[] certificate, boolean knows) {
-    byte[] signed = GossipCodec.write(GossipCodec.cluster("east"), p, 42, 1_234, certificate, knows);
+    byte[] signed = GossipCodec.write(GossipCodec.cluster("east"), p, 42, 1_234, certificate, knows ? 7 : 0);
     return Arrays.copyOf(signed, signed.length + GossipCodec.SIGNATURE);
   }
 
@@ -52,7 +52,7 @@
       assertEquals(42, head.seq());
       assertEquals(1_234, head.time());
       assertEquals(GossipCodec.cluster("east"), head.cluster());
-      assertTrue(head.knowsYou());
+      assertEquals(7, head.knows());
       assertNull(head.certificate());
       int weight = GossipCodec.size("g1", m, 0) + p.news().stream().mapToInt(GossipCodec::size).sum()
           + GossipCodec.size(CLAIM);
--- a/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
@@ -212,7 +212,7 @@
   private static byte[] forged(String name, long seq) {
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(Installation.CLUSTER),
         new Packet(name, 1, 1, new Message.Tell(), List.of(), List.of()),
-        Long.MAX_VALUE - 1_000_000_000 + seq, System.currentTimeMillis(), null, true);
+        Long.MAX_VALUE - 1_000_000_000 + seq, System.currentTimeMillis(), null, 1);
     return Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
   }
 
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -88,7 +88,7 @@
       Packet told = lie.apply(packet);
       byte[] certificate = knowsMe.contains(to) ? null : new byte[CERTIFICATE];
       byte[] bytesOut = GossipCodec.write(0, told, seq++, clock() / MILLISECOND, certificate,
-          known.contains(to));
+          known.contains(to) ? 1 : 0);
       count(bytesOut.length + GossipCodec.SIGNATURE + GossipCodec.UDP);
       deliver(this, at, bytesOut);
     }
@@ -203,7 +203,7 @@
         return; // its sender can't be proved
       }
       to.known.add(p.sender());
-      if (head.knowsYou()) {
+      if (head.knows() != 0) {
         to.knowsMe.add(p.sender());
       } else {
         to.knowsMe.remove(p.sender());
--- a/lab/src/test/java/reachloom/gossip/net/DoorwayTest.java
+++ b/lab/src/test/java/reachloom/gossip/net/DoorwayTest.java
@@ -36,7 +36,7 @@
     installation.instance("g1", "ca", 30);
     installation.instance("g2", "ca", 3);
     sender = identity("g2");
-    doorway = new Doorway(Installation.CLUSTER, identity("g1"));
+    doorway = new Doorway(Installation.CLUSTER, identity("g1"), 1_000 * MILLISECOND);
   }
 
   private Identity identity(String name) throws Exception {
@@ -47,7 +47,7 @@
   private byte[] datagram(long time, boolean certified) throws Exception {
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(Installation.CLUSTER),
         new Packet("g2", 1, 1, new Message.Tell(), List.of(), List.of()), seq++, time,
-        certified ? sender.certificate() : null, false);
+        certified ? sender.certificate() : null, 0);
     byte[] whole = Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
     System.arraycopy(sender.sign(unsigned), 0, whole, unsigned.length, GossipCodec.SIGNATURE);
     return whole;
@@ -61,7 +61,7 @@
   void aCertificateThatExpiresWhileRunningIsNoLongerTaken() throws Exception {
     long now = System.currentTimeMillis();
     assertNotNull(enter(now, datagram(now, true)));
-    assertTrue(doorway.knows("g2"));
+    assertTrue(doorway.knows("g2") == GossipCodec.mark(sender.certificate()));
     assertNotNull(enter(now, datagram(now, false)), "it is known, and need not bring it again");
     long later = now + 4 * DAY;
     assertNull(enter(later, datagram(later, false)));
--- a/lab/src/test/java/reachloom/lab/gossip/GossipSocketsTest.java
+++ b/lab/src/test/java/reachloom/lab/gossip/GossipSocketsTest.java
@@ -151,7 +151,7 @@
     Identity id = Identity.read(s);
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(cluster),
         new Packet(name, 0x7f000001L << 16 | 9, time / 1000, new Message.Ping(1, ""), List.of(), List.of()),
-        seq, time, certified ? id.certificate() : null, false);
+        seq, time, certified ? id.certificate() : null, 0);
     byte[] whole = Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
     System.arraycopy(id.sign(unsigned), 0, whole, unsigned.length, GossipCodec.SIGNATURE);
     return whole;
@@ -229,7 +229,7 @@
     Identity id = Identity.read(s);
     byte[] signed = GossipCodec.write(GossipCodec.cluster(Installation.CLUSTER),
         new Packet("g2", 1, 1, new Message.Tell(), List.of(), List.of()), 5, System.currentTimeMillis(),
-        id.certificate(), false);
+        id.certificate(), 0);
     signed[signed.length - 7] = 77; // the kind of its message
     byte[] whole = Arrays.copyOf(signed, signed.length + GossipCodec.SIGNATURE);
     System.arraycopy(id.sign(signed), 0, whole, signed.length, GossipCodec.SIGNATURE);
