What an attempt's end tells of its engine is said once, in the ledger

Need: two adapters, on sockets and for the simulator, each mapped outcomes to evidence; that is a decision. Change: Ledger.Seen.of, with a test; a field of Membership that nothing read is gone.

--- a/decisions/src/main/java/reachloom/evidence/Ledger.java
+++ b/decisions/src/main/java/reachloom/evidence/Ledger.java
@@ -6,11 +6,28 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import reachloom.Decisions.Outcome;
 
 /** What this instance itself has seen of each engine, over the latest span, in slices of a second. */
 public final class Ledger {
   /** What became of an attempt. */
-  public enum Seen { SERVED, FAILED, LOST }
+  public enum Seen {
+    SERVED, FAILED, LOST;
+
+    /**
+     * What the end of an attempt tells of its engine, or null where it tells nothing; {@code wanted} is false
+     * where its query was over before: one given up by its client says nothing of the engine.
+     */
+    public static Seen of(Outcome outcome, boolean wanted) {
+      return switch (outcome) {
+        case SERVED -> SERVED;
+        case ERROR, RESET, UNREACHED -> FAILED;
+        case TIMEOUT -> LOST;
+        case CANCELLED -> wanted ? LOST : null;
+        case FULL, NOT_SENT -> null;
+      };
+    }
+  }
 
   private static final long SLICE = 1_000_000_000; // nanoseconds
   private static final int SLICES = 10; // of the span: long enough for a count, short enough to be of now
--- a/decisions/src/main/java/reachloom/membership/Membership.java
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -54,17 +54,15 @@
   private static final class Probe {
     private final Member target;
     private final long seq;
-    private final long startedAt;
     private long directUntil;
     private long until;
     private boolean indirect;
     private int asked;
     private int nacks;
 
-    Probe(Member target, long seq, long now, long directUntil, long until) {
+    Probe(Member target, long seq, long directUntil, long until) {
       this.target = target;
       this.seq = seq;
-      this.startedAt = now;
       this.directUntil = directUntil;
       this.until = until;
     }
@@ -255,7 +253,7 @@
       return;
     }
     long direct = health.stretch((long) (period * DIRECT_SHARE));
-    Probe started = new Probe(target, seq++, now, now + direct, now + health.stretch(period));
+    Probe started = new Probe(target, seq++, now + direct, now + health.stretch(period));
     // Without room for the question, nobody may be blamed for no answer.
     probe = send(now, Use.PROBE, target.name(), target.address, new Message.Ping(started.seq, target.name()))
         ? started : null;
--- a/decisions/src/test/java/reachloom/evidence/CorroborationTest.java
+++ b/decisions/src/test/java/reachloom/evidence/CorroborationTest.java
@@ -1,12 +1,14 @@
 package reachloom.evidence;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import reachloom.Decisions.Outcome;
 import reachloom.evidence.Corroboration.Belief;
 import reachloom.evidence.Ledger.Seen;
 
@@ -177,6 +179,15 @@
     assertEquals(0, level("e1"));
   }
 
+  @Test
+  void whatAnEndTellsOfAnEngine() {
+    assertEquals(Seen.SERVED, Seen.of(Outcome.SERVED, false));
+    assertEquals(Seen.LOST, Seen.of(Outcome.CANCELLED, true));
+    assertNull(Seen.of(Outcome.CANCELLED, false), "its client has left");
+    assertNull(Seen.of(Outcome.FULL, true), "a full engine is not a sick one");
+    assertEquals(Seen.FAILED, Seen.of(Outcome.RESET, true));
+  }
+
   @Test
   void nonsenseInClaimsIsLeftOut() {
     others.hear(now, "p", List.of(new Claim("e1", 0, -5, 3, 1, 0), new Claim("e1", 0, 0, 0, 5, -1),
--- a/gateway/src/main/java/reachloom/benchlink/Neighbours.java
+++ b/gateway/src/main/java/reachloom/benchlink/Neighbours.java
@@ -66,13 +66,7 @@
   }
 
   void ended(long now, AttemptEnd end) {
-    Ledger.Seen seen = switch (end.outcome()) {
-      case SERVED -> Ledger.Seen.SERVED;
-      case ERROR, RESET, UNREACHED -> Ledger.Seen.FAILED;
-      case TIMEOUT -> Ledger.Seen.LOST;
-      case CANCELLED -> end.over() ? null : Ledger.Seen.LOST;
-      case FULL, NOT_SENT -> null;
-    };
+    Ledger.Seen seen = Ledger.Seen.of(end.outcome(), !end.over());
     Long since = engines.get(end.engine());
     if (seen != null && since != null && !(end.over() && end.outcome() != Outcome.SERVED)) {
       ledger.note(now, end.engine(), since, seen);
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -144,13 +144,7 @@
 
   @Override
   public void ended(String engine, Outcome outcome, boolean wanted) {
-    Ledger.Seen seen = switch (outcome) {
-      case SERVED -> Ledger.Seen.SERVED;
-      case ERROR, RESET, UNREACHED -> Ledger.Seen.FAILED;
-      case TIMEOUT -> Ledger.Seen.LOST;
-      case CANCELLED -> wanted ? Ledger.Seen.LOST : null; // one whose client has left tells nothing
-      case FULL, NOT_SENT -> null;
-    };
+    Ledger.Seen seen = Ledger.Seen.of(outcome, wanted);
     if (seen != null) {
       gossip.seen(loop.now(), engine, seen);
     }
