Probes follow their price: at the fleet's price a query pays for a quarter of one, not two

At fault: arrive's credit of two probes a query whatever they cost, ask, which spent them on every query, and reportsKept, whose clock is up to eight probes a query.

Change: PROBE_POINTS, the points of all worth that probes may cost, over the settings' price bounds the probes that a query pays for; the clock wants as many more queries; where a query can't pay for both of its reports only those worth more than most ask. At prices up to 0.01 nothing changes.

Two tests drive a gateway at both prices; both are red without the change.

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -59,6 +59,7 @@
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
   private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
+  private static final double PROBE_POINTS = 0.02; // ... and no more than so much of all worth in all
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
@@ -182,7 +183,7 @@
     queries.put(query.id(), q);
     takenInSpan.add(now, 1);
     takenLately.add(now, 1);
-    probeCredit = Math.min(probeCredit + PROBE_SHARE, 2 * engines.size());
+    probeCredit = Math.min(probeCredit + probeShare(), 2 * engines.size());
     q.beyondShare = query.tenant() < tenants.size() && !tenants.get(query.tenant()).take(now);
     learnCost(q);
     if (kind.ordered() && query.key() != null) {
@@ -404,7 +405,7 @@
   /** Asks two drawn engines for reports, two others where both are full; few queries keep none fresh. */
   private boolean ask(long now, QueryRecord q) {
     boolean found = q.asked.stream().anyMatch(e -> hasRoom(now, q, e));
-    if (found || reportsKept(now) || calm() && q.kind.worth() < meanWorth || !fits(now, q, pool)
+    if (found || reportsKept(now) || spared(q) || !fits(now, q, pool)
         || probeCredit < 2) {
       return false;
     }
@@ -421,7 +422,18 @@
 
   /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
   private boolean reportsKept(long now) {
-    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines.size();
+    double engines = this.engines.size() * PROBE_SHARE / probeShare();
+    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines;
+  }
+
+  /** Probes that a query pays for: few where each is dear. What one gateway asks, all of them do. */
+  private double probeShare() {
+    return Math.min(PROBE_SHARE, PROBE_POINTS / Math.max(settings.probePrice(), 1e-9));
+  }
+
+  /** Where a query can't pay for both its reports, those worth more than most go first. */
+  private boolean spared(QueryRecord q) {
+    return (calm() || probeShare() < PROBE_SHARE / 2) && q.kind.worth() < meanWorth;
   }
 
   /** The less loaded of two drawn engines with room; null where none has. */
--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -11,6 +11,7 @@
 import static reachloom.Bench.engine;
 import static reachloom.Bench.up;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -546,6 +547,57 @@
     assertEquals(List.of("send q " + probes.get(1).substring("probe ".length())), b.take());
   }
 
+  @Test
+  void asksOnlyForQueriesThatEarnMoreByItThanItCosts() {
+    for (double price : new double[] {0.01, 0.08}) {
+      Bench b = new Bench();
+      b.gateways = 100;
+      b.reports = true;
+      b.probePrice = price;
+      b.start(pool(30, 0));
+      int[] probes = new int[2];
+      for (int i = 0; i < 40; i++) {
+        b.pass(SECOND); // too few queries for a clock
+        b.take();
+        boolean dear = i % 10 == 9; // worth 8 beside nine of 1: 1.7 on average
+        b.arrive("q" + i, dear ? LONG : QUICK, 0.1);
+        List<String> taken = new ArrayList<>(b.take());
+        probes[dear ? 1 : 0] += count(taken, "probe");
+        taken.stream().filter(a -> a.startsWith("probe")).forEach(a -> b.report(a.split(" ")[1], 0.95));
+        b.pass(50 * MS);
+        taken.addAll(b.take());
+        taken.stream().filter(a -> a.startsWith("send")).map(a -> a.split(" ")).forEach(
+            a -> b.end(a[1], 0, a[2], Outcome.FULL, 0, true)); // signs of pressure: the pool is not calm
+      }
+      assertTrue(probes[1] >= 8, probes[1] + " probes for four queries of much worth at " + price);
+      assertTrue(price < 0.05 ? probes[0] > 60 : probes[0] == 0,
+          probes[0] + " probes for 36 queries of little worth at " + price);
+    }
+  }
+
+  @Test
+  void theClockOfProbesRunsOnlyWhereItsPriceIsEarned() {
+    for (double price : new double[] {0.01, 0.08}) {
+      Bench b = new Bench();
+      b.gateways = 100;
+      b.reports = true;
+      b.probePrice = price;
+      b.start(pool(30, 0));
+      int probes = 0;
+      for (int i = 0; i < 400; i++) {
+        b.arrive("q" + i, QUICK, 0.1);
+        b.pass(100 * MS);
+        List<String> taken = b.take();
+        probes += count(taken, "probe");
+        taken.stream().filter(a -> a.startsWith("probe")).forEach(a -> b.report(a.split(" ")[1], 0.95));
+        taken.stream().filter(a -> a.startsWith("send")).map(a -> a.split(" ")).forEach(
+            a -> b.end(a[1], 0, a[2], Outcome.FULL, 0, true));
+      }
+      // Ten queries a second pay for 70 probes a second at the one price, and for 9 at the other.
+      assertTrue(price < 0.05 ? probes > 2_000 : probes < 400, probes + " probes in 40 s at " + price);
+    }
+  }
+
   @Test
   void doesNotAskForAQueryWithHardlyAnyTimeLeft() {
     Bench b = new Bench();
