The loop takes its work from a queue that never spins: the cause of "did not wait in 20 s"

A watch on the gateways' threads caught three: the loop's thread runs for good, all others wait; perf: 84% of its time at one address of compiled code, the rest in os::javaTimeNanos and clock_gettime, no other call.

Tested: the loop asks for nanoTime in one place alone, LinkedBlockingQueue.poll with a time. The wait's time is over, a thread that adds has marked the waiting one as woken but not yet queued it, and was stopped in between; awaitNanos then spins without a pause until that one goes on, which it can't where only one of them may run.

Change: Handover, a lock-free queue and one park; whoever takes depends on no thread that adds, and waits that return for nothing end in a sleep. Loop uses it.

--- a/gateway/src/main/java/reachloom/gateway/Loop.java
+++ b/gateway/src/main/java/reachloom/gateway/Loop.java
@@ -3,9 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import reachloom.gateway.tables.Deadlines;
 
 /**
@@ -28,7 +26,7 @@
 
   private final Clock clock = new Clock();
   private final Deadlines deadlines = new Deadlines();
-  private final LinkedBlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+  private final Handover<Task> queue = new Handover<>();
   private final Semaphore room = new Semaphore(MOST_WAITING);
   private final ArrayDeque<Runnable> later = new ArrayDeque<>();
   private volatile boolean ended;
@@ -74,7 +72,7 @@
 
   private void turn() throws InterruptedException {
     long wanted = Math.min(deadlines.next(), now() + LONGEST_WAIT);
-    Task task = queue.poll(Math.max(0, wanted - now()), TimeUnit.NANOSECONDS);
+    Task task = queue.poll(Math.max(0, wanted - now()));
     if (now() - wanted > STANDSTILL) {
       readFirst(task);
       task = null;
@@ -96,7 +94,7 @@
       if (task != null) {
         run(task);
       }
-      task = queue.poll(SETTLE, TimeUnit.NANOSECONDS);
+      task = queue.poll(SETTLE);
       if (task == null) {
         return;
       }
