A new configuration is found also where SIGHUP is ignored, as under nohup

Who starts a process with SIGHUP ignored hands that on by exec, and the virtual machine then leaves it ignored: Signal.handle returns SIG_IGN and installs nothing.

Change: where SIGHUP is ignored that is said once, and the file is looked at each second instead (4 s are allowed).

Measured: the test starts the program by a shell that ignores SIGHUP, replaces the file, and sees the new change log asked; red without the change (17 s, no connection).

--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +21,7 @@
 import reachloom.gossip.net.GossipNode;
 import reachloom.gossip.net.Identity;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Runs one gateway from its start to its end. */
 public final class Server {
@@ -36,6 +40,8 @@
    */
   private static final long LINGER = 120 * MILLISECOND;
   private static final long FLUSH = 50 * MILLISECOND;
+  /** Between looks at the configuration file where no signal tells of a new one; 4 s are allowed. */
+  private static final long LOOK_MS = 1_000;
 
   private final GatewayConfig config;
   private final Map<String, String> environment;
@@ -76,7 +82,9 @@
       return 1;
     }
     // Without a handler the virtual machine ends on SIGHUP; each signal comes on a thread of its own.
-    Signal.handle(new Signal("HUP"), s -> reload());
+    if (Signal.handle(new Signal("HUP"), s -> reload()) == SignalHandler.SIG_IGN) {
+      lookAtTheFile();
+    }
     // Only from here on: a start that fails ends at once.
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
     loop.post(0, gateway::start);
@@ -120,6 +128,45 @@
     }
   }
 
+  /**
+   * Where whoever started this process had SIGHUP ignored, as nohup does, the virtual machine leaves that so,
+   * and nothing would tell of a new configuration: its file is looked at instead.
+   */
+  private void lookAtTheFile() {
+    String file = environment.get("LB_CONFIG");
+    if (file == null) {
+      return;
+    }
+    LOG.log(Level.WARNING, "SIGHUP is ignored in this process: {0} is looked at each second instead", file);
+    Thread look = new Thread(() -> {
+      String last = state(Path.of(file));
+      try {
+        while (stopped.getCount() > 0) {
+          Thread.sleep(LOOK_MS);
+          String now = state(Path.of(file));
+          if (!now.equals(last)) {
+            last = now;
+            reload();
+          }
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }, "configuration");
+    look.setDaemon(true);
+    look.start();
+  }
+
+  /** What tells a file that was replaced or written from the one before. */
+  private static String state(Path file) {
+    try {
+      BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
+      return a.lastModifiedTime() + " " + a.size() + " " + a.fileKey();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
   /** Reads the configuration again, off the loop; one that can't be used leaves the old one in force. */
   private synchronized void reload() {
     GatewayConfig next;
--- a/gateway/src/test/java/reachloom/gateway/ServeTest.java
+++ b/gateway/src/test/java/reachloom/gateway/ServeTest.java
@@ -330,6 +330,22 @@
     assertEquals(0, gateway.exit());
   }
 
+  @Test
+  void aNewConfigurationIsFoundAlsoWhereSighupIsIgnored() throws Exception {
+    String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog, node);
+    Path own = Files.createDirectory(folder.resolve("deaf"));
+    List<String> ignoring = List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+    try (ChangeLogStandIn moved = new ChangeLogStandIn(1);
+        GatewayProcess deaf = new GatewayProcess(own, text, ignoring, List.of())) {
+      deaf.ready().close();
+      deaf.configure(text.replace(":" + changeLog.address().getPort() + "\"",
+          ":" + moved.address().getPort() + "\""));
+      deaf.hangUp();
+      await(() -> moved.hellos.contains(1L));
+      assertTrue(deaf.alive());
+    }
+  }
+
   @Test
   void stoppingGoesOnServingThenEndsWell() throws Exception {
     try (ThriftClient c = new ThriftClient(gateway.listen)) {
--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -49,6 +49,12 @@
 
   /** Starts a gateway with that configuration and further words on its command line. */
   public GatewayProcess(Path folder, String text, List<String> words) throws IOException {
+    this(folder, text, List.of(), words);
+  }
+
+  /** Starts a gateway by a command that those words begin, as a shell's that replaces itself by the rest. */
+  public GatewayProcess(Path folder, String text, List<String> before, List<String> words)
+      throws IOException {
     Matcher address = Pattern.compile("\"listen\":\"([0-9.]+):([0-9]+)\"").matcher(text);
     if (!address.find()) {
       throw new IllegalArgumentException("no address to listen at");
@@ -58,14 +64,19 @@
     log = folder.resolve("log" + System.nanoTime());
     List<String> all = new ArrayList<>(List.of("serve"));
     all.addAll(words);
-    process = start(config, log, all.toArray(String[]::new));
+    process = start(config, log, before, all);
   }
 
   public static Process start(Path config, Path log, String... words) throws IOException {
-    List<String> command = new ArrayList<>(List.of(
-        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-cp",
-        System.getProperty("java.class.path"), "reachloom.Main"));
-    command.addAll(List.of(words));
+    return start(config, log, List.of(), List.of(words));
+  }
+
+  private static Process start(Path config, Path log, List<String> before, List<String> words)
+      throws IOException {
+    List<String> command = new ArrayList<>(before);
+    command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+        "-cp", System.getProperty("java.class.path"), "reachloom.Main"));
+    command.addAll(words);
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
         .redirectOutput(log.toFile());
     builder.environment().keySet().removeIf(k -> k.startsWith("LB_"));
