Queries are rehearsed with all the time of their class, not with 1.5 s

Cause: Rehearsal.arrive gave each made-up query 1,500 ms; where the estimate, at first the aim, is longer, each is refused at arrival, and nothing of what follows a send is rehearsed. Excluded: the price of probes (with and without it the same).

Change: the class's own deadline.

--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
@@ -113,8 +113,10 @@
         "1500", "team", "t", "unique", id + id));
     if (ThriftReader.read(frame) instanceof ClientCall.Execute call) {
       attempts.put(id, 0);
-      module.arrive(now, new Query(id, queryClass, 0, null, 1_500 * MILLISECOND, 0, 0,
-          TableGroup.of(call.statement()), false));
+      // All the time of its class: one that can't end in its time is refused, and rehearses nothing.
+      long time = config.settings().classes().get(queryClass).deadline();
+      module.arrive(now, new Query(id, queryClass, 0, null, time, 0, 0, TableGroup.of(call.statement()),
+          false));
     }
   }
 
