Gossip: the last question to a suspect goes through others too, and liars' bytes stand apart

Cause: the objection had not come to g208 within the time to object, and both of its own last questions were lost (each way 6%: once in 75 times); nobody else was asked.

Change: the last question also goes through three others, and a relay's answer carries what it heard from the one asked itself, so that an objection comes with it. The experiment tells the honest instances' bytes from the liars'.

--- a/decisions/src/main/java/reachloom/membership/Membership.java
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -223,11 +223,7 @@
     }
     if (!probe.indirect && now >= probe.directUntil) {
       probe.indirect = true;
-      List<Member> relays = draw(RELAYS, m -> m != probe.target && m.state == State.ALIVE);
-      for (Member relay : relays) {
-        Message ask = new Message.PingRequest(probe.seq, probe.target.name(), probe.target.address);
-        probe.asked += send(now, Use.PROBE, relay.name(), relay.address, ask) ? 1 : 0;
-      }
+      probe.asked = askThrough(now, probe.target, probe.seq);
     }
     if (now >= probe.until) {
       // Relays that did not even say "no" show that it is this instance which does not hear.
@@ -242,6 +238,13 @@
     }
   }
 
+  /** Has others ask a member; gives how many were sent for. */
+  private int askThrough(long now, Member target, long number) {
+    Message ask = new Message.PingRequest(number, target.name(), target.address);
+    return (int) draw(RELAYS, m -> m != target && m.state == State.ALIVE).stream()
+        .filter(relay -> send(now, Use.PROBE, relay.name(), relay.address, ask)).count();
+  }
+
   private void startProbe(long now) {
     nextProbeAt = now + health.stretch(period);
     tellSuspects(now);
@@ -298,8 +301,9 @@
 
   /**
    * Nobody is given up by one that has not asked it itself, and told it what it is accused of: where its
-   * objection was on its way round but had not come here, it comes now. A real crash is known some periods
-   * later for it.
+   * objection was on its way round but had not come here, it comes now. The last question goes through
+   * others, too: with 6% of all packets lost, two questions of its own are both in vain once in 75 times. A
+   * real crash is known some periods later for it.
    */
   private void judgeSuspects(long now) {
     for (Member m : List.copyOf(members.values())) {
@@ -310,6 +314,9 @@
         turn(now, m, State.DEAD, m.incarnation);
       } else if (send(now, Use.PROBE, m.name(), m.address, new Message.Ping(seq++, m.name()))) {
         m.suspicion.asked(now + health.stretch(period));
+        if (m.suspicion.lastAsks() == LAST_ASKS) {
+          askThrough(now, m, seq++);
+        }
       }
     }
   }
@@ -501,7 +508,8 @@
     Relayed r = relayed.get(ofSeq);
     if (r != null && r.target.equals(m.name())) {
       relayed.remove(ofSeq);
-      send(now, Use.ANSWER, r.asker, r.address, new Message.Ack(r.seq));
+      // With what it says itself: the one that asks may hold an accusation that was objected to long ago.
+      send(now, Use.ANSWER, r.asker, r.address, new Message.Ack(r.seq), m.news());
     }
   }
 
@@ -658,10 +666,14 @@
 
   /** Sends where the cap leaves room; one that is suspected, or given up, is told so first: it may object. */
   private boolean send(long now, Use use, String to, long at, Message message) {
+    return send(now, use, to, at, message, null);
+  }
+
+  private boolean send(long now, Use use, String to, long at, Message message, News about) {
     int size = weights.message(to, message);
     Member m = members.get(to);
     News first = m != null && (m.state != State.ALIVE || message instanceof Message.Ack
-        && m.incarnation > 0 && m.heardAt == 0) ? m.news() : null;
+        && m.incarnation > 0 && m.heardAt == 0) ? m.news() : about;
     int least = size + (first == null ? 0 : weights.news(first));
     if (!meter.room(now, use, least)) {
       return false;
--- a/decisions/src/test/java/reachloom/membership/MembershipTest.java
+++ b/decisions/src/test/java/reachloom/membership/MembershipTest.java
@@ -215,6 +215,26 @@
     assertEquals(State.ALIVE, state("a"));
   }
 
+  @Test
+  void theLastQuestionGoesThroughOthersToo() {
+    join("a", "b", "c", "d");
+    for (String accuser : new String[] {"b", "c", "d"}) {
+      hear(accuser, new Message.Ack(-1), news("a", 0, State.SUSPECT, accuser));
+    }
+    sent.clear();
+    // Whatever goes to it, or comes back from it, is lost on the way.
+    Sent through = null;
+    for (int i = 0; i < 80 && through == null; i++) {
+      passAnswering(SECOND / 10, "a");
+      through = sent.stream().filter(s -> s.message() instanceof Message.PingRequest r
+          && r.target().equals("a")).findFirst().orElse(null);
+    }
+    assertEquals(State.SUSPECT, state("a"));
+    Message.PingRequest asked = (Message.PingRequest) through.message();
+    hear(through.to(), new Message.Ack(asked.seq()), news("a", 1, State.ALIVE, ""));
+    assertEquals(State.ALIVE, state("a"), "it had objected long ago, and the relay has heard so from itself");
+  }
+
   @Test
   void noIncarnationFromTheFutureLeavesNoNumberToObjectWith() {
     join("a", "b");
@@ -274,7 +294,7 @@
 
   @Test
   void aRelayPassesTheQuestionAndTheAnswerOrItsNo() {
-    join("a", "b", "c");
+    join("c", "a", "b");
     sent.clear();
     hear("a", new Message.PingRequest(42, "c", address("c")));
     Message.Ping asked = (Message.Ping) last().message();
@@ -282,6 +302,7 @@
     hear("c", new Message.Ack(asked.seq()));
     assertEquals(new Message.Ack(42), last().message());
     assertEquals("a", last().to());
+    assertEquals("c", last().news().get(0).member(), "with what it has heard from it itself");
     hear("b", new Message.PingRequest(43, "c", address("c")));
     for (int i = 0; i < 4; i++) {
       pass(SECOND / 10);
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -52,6 +52,8 @@
     public long stalledUntil;
     /** What a liar does to what it sends. */
     public UnaryOperator<Packet> lie = p -> p;
+    /** Whether it does anything to it: what it adds then is no longer within any cap. */
+    public boolean liar;
     /** Hears of engines that others speak against. */
     public BiConsumer<String, Double> hearsay = (engine, level) -> { };
     public long mostBytes;
@@ -259,8 +261,8 @@
     return nodes.stream().filter(n -> n.up).allMatch(n -> n.gossip.membership().size() == live);
   }
 
-  /** The most bytes that any instance sent in any second. */
-  public long mostBytes() {
-    return nodes.stream().mapToLong(n -> n.mostBytes).max().orElse(0);
+  /** The most bytes that any instance sent in any second, of the honest ones or of the liars. */
+  public long mostBytes(boolean liars) {
+    return nodes.stream().filter(n -> n.liar == liars).mapToLong(n -> n.mostBytes).max().orElse(0);
   }
 }
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualRun.java
@@ -61,7 +61,10 @@
     joins(cluster);
     cluster.run(plan.seconds * SECOND);
     result.put("false_dead", cluster.falseDead - falseBefore);
-    result.put("bytes_per_s_max", cluster.mostBytes());
+    result.put("bytes_per_s_max", cluster.mostBytes(false));
+    if (plan.liars > 0) {
+      result.put("bytes_per_s_max_liars", cluster.mostBytes(true));
+    }
     result.put("refused_by_reason", Map.of());
     result.put("accepted_forged", 0);
     if (service != null) {
@@ -98,6 +101,7 @@
     for (int i = 0; i < plan.liars; i++) {
       int target = plan.engines - 1 - (plan.collude ? 0 : i % Math.max(1, plan.engines - plan.sick));
       Node liar = c.nodes.get(plan.instances - 1 - i);
+      liar.liar = true;
       liar.lie = p -> new Packet(p.sender(), p.address(), p.incarnation(), p.message(), p.news(),
           claims(engines, engines.get(target), c.agenda.now()));
     }
--- a/lab/src/test/java/reachloom/lab/gossip/VirtualClusterTest.java
+++ b/lab/src/test/java/reachloom/lab/gossip/VirtualClusterTest.java
@@ -48,7 +48,7 @@
     c.run(40 * SECOND);
     assertEquals(39, c.holding(crashed, State.DEAD));
     assertEquals(0, c.falseDead);
-    assertTrue(c.mostBytes() <= CAP, c.mostBytes() + " bytes");
+    assertTrue(c.mostBytes(false) <= CAP, c.mostBytes(false) + " bytes");
   }
 
   @Test
@@ -137,7 +137,7 @@
     c.add(80, 3);
     awaitAgreement(c, 60);
     assertEquals(0, c.falseDead);
-    assertTrue(c.mostBytes() <= CAP, c.mostBytes() + " bytes");
+    assertTrue(c.mostBytes(false) <= CAP, c.mostBytes(false) + " bytes");
   }
 
   @Test
@@ -149,7 +149,7 @@
     n.up = false;
     c.run(60 * SECOND);
     assertEquals(9, c.holding(n, State.DEAD));
-    assertTrue(c.mostBytes() <= 1_024, c.mostBytes() + " bytes");
+    assertTrue(c.mostBytes(false) <= 1_024, c.mostBytes(false) + " bytes");
   }
 
   private static Map<String, Object> play(int sick, int liars, boolean collude, Lie lie, int rate) {
@@ -176,6 +176,7 @@
       assertTrue(figure(one, "service") >= figure(one, "service_alone") - 0.02, lie + " " + one);
       Map<String, Object> three = play(1, 3, true, lie, LOADED);
       assertTrue(figure(three, "service") >= figure(three, "service_alone") - 0.05, lie + " " + three);
+      assertTrue(figure(three, "bytes_per_s_max") <= CAP, "the honest keep to the cap: " + three);
     }
   }
 
