A gateway lets clients in once the change log has spoken, and after a standstill hears it first

Excluded: connects under way (all decided after the connection was asked for), running gateways (none among them), the change log (events came within 50 ms).

Cause: Server.run listened before it asked the change log; clients that had waited in the queue were served by the list of the configuration, while Rehearsal played 533 ms without a pause and the log's events waited. Loop.readFirst, after a standstill, did things in the order in which they were read, queries before the list.

Change: listening waits until the log has been quiet for 100 ms, said "nothing new", or had 400 ms; the rehearsal pauses after each 2 ms; after a standstill the sockets are read before anything is done, and the list comes first.

--- a/gateway/src/main/java/reachloom/gateway/ChangeLog.java
+++ b/gateway/src/main/java/reachloom/gateway/ChangeLog.java
@@ -29,6 +29,10 @@
   private static final long FIRST_PAUSE = 100 * MILLISECOND;
   /** Short beside the 2 s within which a gateway has to find a log again that broke off. */
   private static final long LONGEST_PAUSE = 400 * MILLISECOND;
+  /** A start does not wait longer for a log that can't be reached. */
+  private static final long LONGEST_START = 400 * MILLISECOND;
+  /** What a log holds follows the question at once: it has told all when it is quiet for so long. */
+  private static final long QUIET = 100 * MILLISECOND;
 
   private final Loop loop;
   private final NioSocketConnector connector;
@@ -46,6 +50,10 @@
   private ConnectFuture dialling;
   private Deadline silence;
   private Deadline retry;
+  /** What waits for the list to be that of now, until when at the latest; null once it is. */
+  private Runnable waiting;
+  private long waitingUntil;
+  private Deadline settling;
 
   ChangeLog(Loop loop, Sockets sockets, InetSocketAddress address, long last, long seed, int zones, int kinds,
       Consumer<Change> news, Runnable away) {
@@ -79,6 +87,34 @@
     connect();
   }
 
+  /**
+   * Does that once the log has told what it held, or has had its time: a list handed over at the start may be
+   * old by then, and what the log has told since counts as known.
+   */
+  void whenCaughtUp(Runnable then) {
+    waiting = then;
+    waitingUntil = loop.now() + LONGEST_START;
+    settling = loop.deadlines().add(waitingUntil, this::caughtUp);
+  }
+
+  private void caughtUp() {
+    Runnable then = waiting;
+    waiting = null;
+    loop.deadlines().cancel(settling);
+    if (then != null) {
+      then.run();
+    }
+  }
+
+  private void settle(boolean nothing) {
+    loop.deadlines().cancel(settling);
+    if (nothing) {
+      caughtUp();
+    } else {
+      settling = loop.deadlines().add(Math.min(waitingUntil, loop.now() + QUIET), this::caughtUp);
+    }
+  }
+
   void connect() {
     long mine = ++round;
     dialling = connector.connect(address, (s, f) -> s.setAttribute(ROUND, mine));
@@ -125,6 +161,9 @@
   }
 
   private void heard(Change change) {
+    if (waiting != null) {
+      loop.later(() -> settle(change.nothing())); // once it is dealt with
+    }
     pause = FIRST_PAUSE;
     watch(MOST_SILENCE, "silent");
     if (change.nothing() || change.number() <= last) {
@@ -149,6 +188,9 @@
           return;
         }
         session = s;
+        if (waiting != null) {
+          settle(false);
+        }
         Sockets.write(s, ChangeLogDecoder.hello(last));
         watch(MOST_SILENCE, "silent");
       });
@@ -157,7 +199,7 @@
     @Override
     public void received(IoSession s, Change change, int bytes) {
       long mine = (Long) s.getAttribute(ROUND);
-      loop.post(bytes, () -> {
+      loop.postFirst(bytes, () -> {
         if (mine == round) {
           heard(change);
         }
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -112,6 +112,12 @@
 
   // ---- Start and stop ----
 
+  /** Starts as {@link #start()}; does that once the list of engines is that of now, as far as can be told. */
+  public void start(Runnable then) {
+    start();
+    changeLog.whenCaughtUp(then);
+  }
+
   /** Starts the module and follows the change log. */
   public void start() {
     engines.update(true, config.known());
--- a/gateway/src/main/java/reachloom/gateway/Loop.java
+++ b/gateway/src/main/java/reachloom/gateway/Loop.java
@@ -21,7 +21,7 @@
   /** Bytes of messages not yet looked at; past that, reading from sockets waits. */
   private static final int MOST_WAITING = 4 << 20;
 
-  private record Task(Runnable action, int bytes) {
+  private record Task(Runnable action, int bytes, boolean first) {
   }
 
   private final Clock clock = new Clock();
@@ -43,9 +43,18 @@
 
   /** Runs something on the loop's thread; {@code bytes} is what it keeps in memory until then. */
   public void post(int bytes, Runnable action) {
+    post(bytes, action, false);
+  }
+
+  /** The same for what must be known before anything is decided that came while this process stood still. */
+  public void postFirst(int bytes, Runnable action) {
+    post(bytes, action, true);
+  }
+
+  private void post(int bytes, Runnable action, boolean first) {
     int weight = Math.min(bytes, MOST_WAITING);
     room.acquireUninterruptibly(weight);
-    queue.add(new Task(action, weight));
+    queue.add(new Task(action, weight, first));
   }
 
   /** Runs something on the loop's thread once the present event has been dealt with. */
@@ -87,17 +96,24 @@
     }
   }
 
-  /** After a standstill of the process what waits on the sockets has come in time, and counts first. */
-  private void readFirst(Task first) throws InterruptedException {
+  /**
+   * After a standstill what waits on the sockets has come in time, and counts before deadlines are judged.
+   * All that may have come while it stood, so that a query is not sent by a list that has long been replaced:
+   * nothing is done before the sockets have been read, and what others depend on is done first.
+   */
+  private void readFirst(Task woken) throws InterruptedException {
     long until = now() + LONGEST_SETTLE;
-    for (Task task = first; task != null || now() < until;) {
-      if (task != null) {
+    ArrayDeque<Task> others = new ArrayDeque<>();
+    for (Task task = woken != null ? woken : queue.poll(SETTLE); task != null;) {
+      if (task.first()) {
         run(task);
+      } else {
+        others.add(task);
       }
-      task = queue.poll(SETTLE);
-      if (task == null) {
-        return;
-      }
+      task = now() < until ? queue.poll(SETTLE) : null;
+    }
+    for (Task task = others.poll(); task != null; task = others.poll()) {
+      run(task);
     }
   }
 
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Rehearsal.java
@@ -13,6 +13,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import reachloom.Decisions.Actions;
 import reachloom.Decisions.AttemptEnd;
@@ -43,6 +46,9 @@
   private static final Logger LOG = System.getLogger(Rehearsal.class.getName());
   private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final long LONGEST = 800 * MILLISECOND; // on the machine's clock; a restart waits for it
+  /** Playing takes turns with the gateway's own threads, also where only one may run at once. */
+  private static final long TURN = 2 * MILLISECOND;
+  private static final long PAUSE = MILLISECOND / 10;
   private static final long STEP = MILLISECOND / 4; // between queries, in the time that is played
   private static final int OUT_AT_ONCE = 64;
   private static final int NOTE_EACH = 8; // attempts of which one tells a note
@@ -70,8 +76,8 @@
     module = factory.apply(this);
   }
 
-  /** Plays until the time is up. */
-  void run() {
+  /** Plays until the time is up; the gateway lets clients in while it does, which is told by that latch. */
+  void run(CountDownLatch open) {
     long start = System.nanoTime();
     try {
       play(start);
@@ -80,7 +86,11 @@
     }
     int checks = 0;
     try {
-      checks = check(config.listen(), start);
+      if (open.await(LONGEST, TimeUnit.NANOSECONDS)) {
+        checks = check(config.listen(), start);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } catch (IOException e) {
       LOG.log(Level.WARNING, "the gateway does not answer at its own address: {0}", e.getMessage());
     }
@@ -94,7 +104,12 @@
     module.start(now, config.seed(), config.settings());
     module.engines(now, true, engines);
     byte[] page = "a\tb\tc\n".repeat(PAGE / 6).getBytes(StandardCharsets.UTF_8);
+    long turn = start;
     for (int i = 0; System.nanoTime() - start < LONGEST * 2 / 3; i++) {
+      if (System.nanoTime() - turn > TURN) { // the gateway is there already, and clients may be
+        LockSupport.parkNanos(PAUSE);
+        turn = System.nanoTime();
+      }
       now += STEP;
       for (Runnable due = timers.poll(now); due != null; due = timers.poll(now)) {
         due.run();
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -49,10 +49,12 @@
   private LocalSettings local;
   private final Loop loop = new Loop();
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final CountDownLatch open = new CountDownLatch(1);
   private Gateway gateway;
   /** Null where gossip is off; then none of its classes is loaded. */
   private GossipNode gossip;
   private boolean stopping;
+  private volatile int status;
   private boolean endWhenReady;
   private long openUntil;
 
@@ -75,28 +77,36 @@
     if (local.gossip().isPresent() && !joinOthers(local.gossip().get())) {
       return BAD_CONFIGURATION;
     }
-    try {
-      gateway.listen();
-    } catch (IOException e) {
-      LOG.log(Level.ERROR, "listen: {0} can''t be bound: {1}", config.listen(), e.getMessage());
-      return 1;
-    }
     // Without a handler the virtual machine ends on SIGHUP; each signal comes on a thread of its own.
     if (Signal.handle(new Signal("HUP"), s -> reload()) == SignalHandler.SIG_IGN) {
       lookAtTheFile();
     }
-    // Only from here on: a start that fails ends at once.
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
-    loop.post(0, gateway::start);
+    loop.post(0, () -> gateway.start(this::open));
     Thread rehearsal = new Thread(() -> {
-      new Rehearsal(config, Choice::new).run();
+      new Rehearsal(config, Choice::new).run(open);
       loop.post(0, this::ready);
     }, "rehearsal");
     rehearsal.setDaemon(true);
     rehearsal.start();
     loop.run();
     stopped.countDown();
-    return 0;
+    return status;
+  }
+
+  /** Lets clients in: only now, since what the change log had to tell counts as known. */
+  private void open() {
+    if (stopping) {
+      return;
+    }
+    try {
+      gateway.listen();
+      open.countDown();
+    } catch (IOException e) {
+      LOG.log(Level.ERROR, "listen: {0} can''t be bound: {1}", config.listen(), e.getMessage());
+      status = 1;
+      loop.end();
+    }
   }
 
   /** Takes up gossip with other instances; false where the settings can't be used. */
@@ -204,7 +214,7 @@
     try {
       boolean clean = stopped.await(1, TimeUnit.MINUTES);
       System.err.flush();
-      Runtime.getRuntime().halt(clean ? 0 : 1);
+      Runtime.getRuntime().halt(clean ? status : 1);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/gateway/src/test/java/reachloom/gateway/ServeTest.java
+++ b/gateway/src/test/java/reachloom/gateway/ServeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -330,6 +331,30 @@
     assertEquals(0, gateway.exit());
   }
 
+  @Test
+  void nothingGoesToAnEngineThatDrainedWhileTheGatewayStarted() throws Exception {
+    changeLog.add(1, node, 1);
+    changeLog.add(2, other, 0);
+    InetSocketAddress address = GatewayProcess.freeAddress();
+    Path own = Files.createDirectory(folder.resolve("late"));
+    long before = node.count("ASK");
+    try (GatewayProcess late =
+        new GatewayProcess(own, GatewayProcess.config(address, changeLog, node))) {
+      ThriftClient.Reply reply = null;
+      for (long end = System.nanoTime() + 20_000_000_000L; reply == null && System.nanoTime() < end;) {
+        try (ThriftClient early = new ThriftClient(address)) { // does not wait until check says good
+          reply = early.run("select 1");
+        } catch (IOException e) {
+          Thread.sleep(2);
+        }
+      }
+      assertEquals("ANSWER", reply.kind());
+      assertEquals(before, node.count("ASK"));
+      assertEquals(1, other.count("ASK"));
+      assertTrue(late.alive());
+    }
+  }
+
   @Test
   void aNewConfigurationIsFoundAlsoWhereSighupIsIgnored() throws Exception {
     String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog, node);
