--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -593,7 +593,7 @@
         taken.stream().filter(a -> a.startsWith("send")).map(a -> a.split(" ")).forEach(
             a -> b.end(a[1], 0, a[2], Outcome.FULL, 0, true));
       }
-      // Ten queries a second pay for 70 probes a second at the one price, and for 9 at the other.
+      // Ten queries a second pay for a clock at the one price, and not at the other.
       assertTrue(price < 0.05 ? probes > 2_000 : probes < 400, probes + " probes in 40 s at " + price);
     }
   }
