--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -547,14 +547,18 @@
     assertEquals(List.of("send q " + probes.get(1).substring("probe ".length())), b.take());
   }
 
+  private static Bench fleetWithProbesAt(double price) {
+    Bench b = new Bench();
+    b.gateways = 100;
+    b.reports = true;
+    b.probePrice = price;
+    return b.start(pool(30, 0));
+  }
+
   @Test
   void asksOnlyForQueriesThatEarnMoreByItThanItCosts() {
     for (double price : new double[] {0.01, 0.08}) {
-      Bench b = new Bench();
-      b.gateways = 100;
-      b.reports = true;
-      b.probePrice = price;
-      b.start(pool(30, 0));
+      Bench b = fleetWithProbesAt(price);
       int[] probes = new int[2];
       for (int i = 0; i < 40; i++) {
         b.pass(SECOND); // too few queries for a clock
@@ -578,11 +582,7 @@
   @Test
   void theClockOfProbesRunsOnlyWhereItsPriceIsEarned() {
     for (double price : new double[] {0.01, 0.08}) {
-      Bench b = new Bench();
-      b.gateways = 100;
-      b.reports = true;
-      b.probePrice = price;
-      b.start(pool(30, 0));
+      Bench b = fleetWithProbesAt(price);
       int probes = 0;
       for (int i = 0; i < 400; i++) {
         b.arrive("q" + i, QUICK, 0.1);
