Where probes are dear the clock keeps within their share, too

Cause: Choice.reportsKept scaled the queries that a clock wants by the price once; its probes a query, four times the engines over the queries of 2 s, then stay above the share that a query pays for, 1.25 against 0.625 at the fleet's price.

Change: it scales twice. At prices up to 0.025 nothing changes. The price's tests hold; 223 tests are green.

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -420,10 +420,10 @@
     return settings.limits().probes() && settings.traits().reports();
   }
 
-  /** Whether the probes that our traffic pays for keep the reports of all engines fresh. */
+  /** Whether our traffic pays for fresh reports of all engines; where probes are dear, within their share. */
   private boolean reportsKept(long now) {
-    double engines = this.engines.size() * PROBE_SHARE / probeShare();
-    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines;
+    double dear = PROBE_SHARE / probeShare();
+    return !reportsTold() || takenLately.sum(now) * CLOCK_SHARE >= engines.size() * dear * dear;
   }
 
   /** Probes that a query pays for: few where each is dear. What one gateway asks, all of them do. */
