--- a/gateway/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/FrontsTest.java
@@ -36,6 +36,7 @@
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.NodeStandIn;
 import reachloom.standin.ThriftClient;
+import reachloom.standin.ThriftWords;
 
 /** What the front on sockets tells the module: the same as the simulator's front, in the same units. */
 class FrontsTest {
@@ -145,7 +146,7 @@
       int other = c.execute("select 1 from sales_1.a");
       Query second = next(Query.class);
       loop.post(0, () -> actions.refuse(second.id(), 0));
-      ThriftClient.Reply reply = c.reply();
+      ThriftWords.Reply reply = c.reply();
       assertEquals(other, reply.seq());
       assertEquals("BUSY", reply.kind());
       reply = c.reply();
--- a/gateway/src/test/java/reachloom/gateway/ServeTest.java
+++ b/gateway/src/test/java/reachloom/gateway/ServeTest.java
@@ -23,6 +23,7 @@
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.NodeStandIn;
 import reachloom.standin.ThriftClient;
+import reachloom.standin.ThriftWords;
 
 /** Starts the program and speaks to it over sockets, as its clients, engines and operators do. */
 class ServeTest {
@@ -175,7 +176,7 @@
         int hanging = c.execute("select 1 /* hang */", "verb", "once", "limit", "10000");
         long start = System.nanoTime();
         int bad = c.execute("select 1 /* " + spoilt + " */", "verb", "once", "limit", "10000");
-        List<ThriftClient.Reply> replies = List.of(c.reply(), c.reply());
+        List<ThriftWords.Reply> replies = List.of(c.reply(), c.reply());
         long ms = (System.nanoTime() - start) / 1_000_000;
         assertEquals(Set.of(hanging, bad), Set.of(replies.get(0).seq(), replies.get(1).seq()));
         replies.forEach(r -> assertEquals("FAILED", r.kind(), spoilt));
@@ -340,7 +341,7 @@
     long before = node.count("ASK");
     try (GatewayProcess late =
         new GatewayProcess(own, GatewayProcess.config(address, changeLog, node))) {
-      ThriftClient.Reply reply = null;
+      ThriftWords.Reply reply = null;
       for (long end = System.nanoTime() + 20_000_000_000L; reply == null && System.nanoTime() < end;) {
         try (ThriftClient early = new ThriftClient(address)) { // does not wait until check says good
           reply = early.run("select 1");
@@ -383,7 +384,7 @@
         assertFalse(second.check(), "no new clients are wanted");
         assertEquals("ANSWER", second.run("select 1").kind());
       }
-      ThriftClient.Reply first = c.reply();
+      ThriftWords.Reply first = c.reply();
       assertEquals(late, first.seq());
       assertEquals("ANSWER", first.kind());
       assertEquals(hanging, c.reply().seq());
--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import reachloom.lab.fleet.FleetCommand;
 import reachloom.lab.gossip.GossipCommand;
 
 /** Entry point of the laboratory: picks a command by its name. */
@@ -20,6 +21,7 @@
   static {
     COMMANDS.put("demo", new Demo());
     COMMANDS.put("gossip", new GossipCommand());
+    COMMANDS.put("fleet", new FleetCommand());
   }
 
   /** One command of the laboratory. */
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/Baseline.java
@@ -0,0 +1,228 @@
+package reachloom.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.QueryClass;
+import reachloom.Decisions.Report;
+import reachloom.Decisions.Settings;
+import reachloom.standin.model.EngineModel;
+import reachloom.standin.model.EngineModel.Mood;
+
+/**
+ * Plain policies to compare with, in simulated time only: they send at once, try again where the class
+ * allows, and give up where nothing is left. None of them is part of the gateway.
+ */
+final class Baseline implements Events {
+  /** How an engine is chosen. */
+  enum Rule {
+    /** Any. */
+    RANDOM,
+    /** The less loaded of two by own counts. */
+    TWO,
+    /** The one that reported least, asked each half second. */
+    REPORTED,
+    /** The less loaded of two by the true counts of now. */
+    FRESH,
+    /** The least loaded of four by the true state of 50 ms ago; cold and sick engines are known as such. */
+    ORACLE
+  }
+
+  private static final long PROBE_GAP = 500 * Plan.MILLISECOND;
+  private static final int FOUR = 4;
+  /** The oracle gives cold engines so much of what they can do. */
+  private static final double COLD_MARGIN = 0.8;
+
+  private record Sent(Query query, List<String> tried) {
+  }
+
+  private final Rule rule;
+  private final Actions actions;
+  private final World world;
+  private final Late late;
+  private final Map<String, EngineInfo> engines = new LinkedHashMap<>();
+  private final Map<String, Integer> out = new HashMap<>();
+  private final Map<String, Report> reports = new HashMap<>();
+  private final Map<String, Sent> open = new HashMap<>();
+  private Settings settings;
+  private SplittableRandom random;
+
+  /** What the oracles of one run see: the state of all engines, 50 ms old. */
+  static final class Late {
+    private static final long AGE = 50 * Plan.MILLISECOND;
+    private static final long STEP = 10 * Plan.MILLISECOND;
+    private final List<Map<Integer, Double>> states = new ArrayList<>();
+    private Map<Integer, Double> known = new HashMap<>();
+
+    /** Looks from now on. */
+    void watch(World world) {
+      Map<Integer, Double> now = new HashMap<>();
+      for (EngineModel e : world.engines.values()) {
+        boolean well = e.mood() == Mood.WELL;
+        double room = e.spec.cores() * e.spec.speed() * (e.cold() ? COLD_MARGIN * e.warmth() : 1);
+        now.put(e.id, well ? e.threads() / room : Double.POSITIVE_INFINITY);
+      }
+      states.add(now);
+      if (states.size() > AGE / STEP) {
+        known = states.remove(0);
+      }
+      world.time.at(world.time.now() + STEP, () -> watch(world));
+    }
+  }
+
+  Baseline(Rule rule, Actions actions, World world, Late late) {
+    this.rule = rule;
+    this.actions = actions;
+    this.world = world;
+    this.late = late;
+  }
+
+  /** The policy of that name; null for none. */
+  static VirtualFleet.Policy named(String name) {
+    Rule rule;
+    try {
+      rule = Rule.valueOf(name.toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+    Late late = new Late();
+    return (actions, world, gateway) -> {
+      if (rule == Rule.ORACLE && late.states.isEmpty()) {
+        late.watch(world);
+      }
+      return new Baseline(rule, actions, world, late);
+    };
+  }
+
+  @Override
+  public void start(long now, long seed, Settings s) {
+    settings = s;
+    random = new SplittableRandom(seed);
+    actions.timer(PROBE_GAP, 0);
+  }
+
+  @Override
+  public void engines(long now, boolean complete, List<EngineInfo> entries) {
+    for (EngineInfo e : entries) {
+      if (e.state() == EngineState.UP) {
+        engines.put(e.name(), e);
+      } else {
+        engines.remove(e.name());
+      }
+    }
+  }
+
+  @Override
+  public void arrive(long now, Query query) {
+    Sent s = new Sent(query, new ArrayList<>());
+    open.put(query.id(), s);
+    send(s);
+  }
+
+  private void send(Sent s) {
+    List<String> draw = new ArrayList<>(engines.keySet());
+    draw.removeAll(s.tried);
+    String best = draw.isEmpty() ? null : switch (rule) {
+      case RANDOM -> draw.get(random.nextInt(draw.size()));
+      case TWO -> least(draw, 2, e -> out.getOrDefault(e, 0) / cores(e));
+      case REPORTED -> least(draw, draw.size(),
+          e -> reports.containsKey(e) ? reports.get(e).util() + random.nextDouble() / 100 : 0);
+      case FRESH -> least(draw, 2, e -> world.engines.get(World.number(e)).threads() / cores(e));
+      case ORACLE -> least(draw, FOUR, e -> late.known.getOrDefault(World.number(e), 0.0));
+    };
+    if (best == null || s.tried.size() >= settings.limits().maxAttempts()) {
+      actions.refuse(s.query.id(), 0);
+      open.remove(s.query.id());
+      return;
+    }
+    s.tried.add(best);
+    out.merge(best, 1, Integer::sum);
+    actions.send(s.query.id(), best, 0);
+  }
+
+  private double cores(String engine) {
+    return settings.kinds().get(engines.get(engine).kind()).cores();
+  }
+
+  private String least(List<String> of, int draws, ToDoubleFunction<String> load) {
+    List<String> drawn = new ArrayList<>();
+    for (int i = 0; i < draws; i++) {
+      drawn.add(draws == of.size() ? of.get(i) : of.get(random.nextInt(of.size())));
+    }
+    return drawn.stream().min(Comparator.comparingDouble(load)).orElseThrow();
+  }
+
+  @Override
+  public void end(long now, AttemptEnd end) {
+    out.merge(end.engine(), -1, Integer::sum);
+    Sent s = open.get(end.query());
+    if (s == null) {
+      return;
+    }
+    QueryClass kind = settings.classes().get(s.query.queryClass());
+    if (end.over()) {
+      open.remove(end.query());
+    } else if (end.outcome() == Outcome.TIMEOUT || kind.effect() == Effect.UNSAFE
+        && end.outcome().mayHaveRun) {
+      actions.fail(s.query.id());
+      open.remove(s.query.id());
+    } else {
+      send(s);
+    }
+  }
+
+  @Override
+  public void wake(long now, long token) {
+    if (rule == Rule.REPORTED) {
+      engines.keySet().forEach(actions::probe);
+    }
+    actions.timer(PROBE_GAP, 0);
+  }
+
+  @Override
+  public void probed(long now, String engine, boolean answered, Report report) {
+    if (answered) {
+      reports.put(engine, report);
+    }
+  }
+
+  @Override
+  public void leave(long now, String query) {
+    open.remove(query);
+  }
+
+  @Override
+  public void listUnavailable(long now) {
+    // The list held stays.
+  }
+
+  @Override
+  public void streaming(long now, String query, int attempt) {
+    // Answers come whole here.
+  }
+
+  @Override
+  public void note(long now, Note note) {
+    // Progress tells these policies nothing.
+  }
+
+  @Override
+  public void hearsay(long now, String engine, double level) {
+    // Nobody speaks to them.
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/CommandDecoder.java
@@ -0,0 +1,65 @@
+package reachloom.lab.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import reachloom.gateway.wire.Decoder;
+
+/** Commands to engines: lines that end in CR LF, behind {@code ASK} a body as long as its last word says. */
+final class CommandDecoder implements Decoder<Command> {
+  private static final int MOST_LINE = 4096;
+  private static final int MOST_BODY = 64 * 1024;
+  private static final int LINE_END = 2;
+
+  private final ByteArrayOutputStream part = new ByteArrayOutputStream();
+  private String[] ask;
+  private int wanted;
+
+  @Override
+  public boolean partial() {
+    return ask != null || part.size() > 0;
+  }
+
+  @Override
+  public String feed(byte[] bytes, int from, int to, Consumer<? super Command> messages) {
+    for (int at = from; at < to;) {
+      if (ask != null) {
+        int more = Math.min(to - at, wanted - part.size());
+        part.write(bytes, at, more);
+        at += more;
+        if (part.size() == wanted) {
+          String body = part.toString(StandardCharsets.UTF_8);
+          messages.accept(new Command(ask[0], ask[1], ask[2], body.substring(0, body.length() - LINE_END)));
+          part.reset();
+          ask = null;
+        }
+        continue;
+      }
+      byte b = bytes[at++];
+      if (b != '\n') {
+        part.write(b);
+        if (part.size() > MOST_LINE) {
+          return "a line without end";
+        }
+        continue;
+      }
+      String line = part.toString(StandardCharsets.ISO_8859_1).stripTrailing();
+      part.reset();
+      String[] words = line.split(" ");
+      if (words.length < 2) {
+        return "a line that is no command";
+      }
+      if (words[0].equals("ASK")) {
+        int length = words.length == 4 && words[3].matches("\\d{1,6}") ? Integer.parseInt(words[3]) : -1;
+        if (length < 0 || length > MOST_BODY) {
+          return "a request of no length";
+        }
+        ask = words;
+        wanted = length + LINE_END;
+      } else {
+        messages.accept(new Command(words[0], words[1], words.length > 2 ? words[2] : "", ""));
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/Director.java
@@ -0,0 +1,175 @@
+package reachloom.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import reachloom.standin.model.EngineModel;
+import reachloom.standin.model.EngineModel.Mood;
+
+/** Plays a script: brings each trouble about in its time, and ends it. */
+final class Director {
+  /** What can be done to gateways. */
+  interface Gateways {
+    /** Ends it at once, without a word. */
+    void kill(int gateway);
+
+    /** Asks it to end, as a planned restart does. */
+    void terminate(int gateway);
+
+    /** Stops it where it stands, or lets it go on. */
+    void halt(int gateway, boolean now);
+
+    /** Starts it anew under its name; nothing where it runs. */
+    void start(int gateway);
+  }
+
+  private final World world;
+  private final Gateways gateways;
+  private final Workload workload;
+  private final Truth truth;
+  private final SplittableRandom random;
+
+  Director(World world, Gateways gateways, Workload workload, Truth truth) {
+    this.world = world;
+    this.gateways = gateways;
+    this.workload = workload;
+    this.truth = truth;
+    random = new SplittableRandom(world.plan.seed() * 17 + 3);
+  }
+
+  /** Plans all of it, from that time on, as long as the run goes on. */
+  void play(Script script, long start, BooleanSupplier goesOn) {
+    for (Trouble t : script.troubles()) {
+      world.time.at(start + t.start(), () -> {
+        if (goesOn.getAsBoolean()) {
+          begin(t);
+        }
+      });
+    }
+  }
+
+  private void later(long wait, Runnable action) {
+    world.time.at(world.time.now() + wait, action);
+  }
+
+  private void begin(Trouble t) {
+    switch (t.who()) {
+      case GATEWAYS -> gateways(t);
+      case ENGINES -> engines(t, world.draw(t.share(), t.zone()));
+      case LINK -> links(t);
+      case LIST -> views(t);
+      case LOAD -> {
+        workload.surge(t.zone(), t.by());
+        later(t.length(), () -> workload.surge(t.zone(), 1));
+      }
+      default -> throw new IllegalStateException(t.toString());
+    }
+  }
+
+  /** All at once, or one after another over the time given. */
+  private void gateways(Trouble t) {
+    List<Integer> some = drawGateways(t.share(), t.zone());
+    for (int i = 0; i < some.size(); i++) {
+      int g = some.get(i);
+      later(t.spread() * i / some.size(), () -> {
+        switch (t.kind()) {
+          case KILL -> {
+            gateways.kill(g);
+            later(t.length(), () -> gateways.start(g));
+          }
+          case TERMINATE -> {
+            gateways.terminate(g);
+            later(t.length(), () -> gateways.start(g));
+          }
+          default -> {
+            gateways.halt(g, true);
+            truth.halted(g, true);
+            later(t.length(), () -> {
+              gateways.halt(g, false);
+              truth.halted(g, false);
+            });
+          }
+        }
+      });
+    }
+  }
+
+  private List<Integer> drawGateways(double share, int zone) {
+    List<Integer> all = new ArrayList<>();
+    for (int g = 0; g < world.plan.gateways(); g++) {
+      if (zone < 0 || world.plan.zoneOf(g) == zone) {
+        all.add(g);
+      }
+    }
+    int wanted = (int) Math.ceil(share * all.size() - 1e-9);
+    while (all.size() > wanted) {
+      all.remove(random.nextInt(all.size()));
+    }
+    return all;
+  }
+
+  private void engines(Trouble t, List<EngineModel> some) {
+    switch (t.kind()) {
+      case HANG -> world.upset(some, Mood.HANGS, 0, t.length());
+      case ERR -> world.upset(some, Mood.ERRS, t.by(), t.length());
+      case SLOW -> world.slow(some, t.by(), t.length());
+      case CRASH -> world.crash(some, t.length());
+      default -> world.replace(some, t.spread());
+    }
+  }
+
+  private void links(Trouble t) {
+    for (int g = 0; g < world.plan.zones(); g++) {
+      for (int e = 0; e < world.plan.zones(); e++) {
+        // From one zone, to another one; without a far zone, between the zone and all others, both ways.
+        boolean meant = t.far() >= 0 ? g == t.zone() && e == t.far()
+            : t.zone() < 0 || (g == t.zone()) != (e == t.zone());
+        if (meant) {
+          World.Link link = world.link(g, e);
+          set(link, t, true);
+          truth.impaired(g, e, true);
+          int from = g;
+          int to = e;
+          later(t.length(), () -> {
+            set(link, t, false);
+            truth.impaired(from, to, false);
+          });
+        }
+      }
+    }
+  }
+
+  private static void set(World.Link link, Trouble t, boolean now) {
+    switch (t.kind()) {
+      case DELAY -> link.delay = now ? (long) (t.by() * Plan.MILLISECOND) : 0;
+      case CUT_OUT -> link.cutOut = now;
+      case CUT_IN -> link.cutIn = now;
+      default -> {
+        link.cutOut = now;
+        link.cutIn = now;
+      }
+    }
+  }
+
+  private void views(Trouble t) {
+    for (World.View v : world.views) {
+      if (t.zone() < 0 || v.zone == t.zone()) {
+        switch (t.kind()) {
+          case LATE -> {
+            v.late((long) (t.by() * Plan.MILLISECOND));
+            later(t.length(), () -> v.late(0));
+          }
+          case STALE -> {
+            v.stale(true);
+            later(t.length(), () -> v.stale(false));
+          }
+          default -> {
+            v.down(true);
+            later(t.length(), () -> v.down(false));
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -0,0 +1,129 @@
+package reachloom.lab.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import reachloom.Choice;
+import reachloom.lab.Lab;
+
+/** Plays a whole fleet under a script of troubles, and tells how the load was spread and what broke. */
+public final class FleetCommand implements Lab.Command {
+  private static final double HUNDREDTHS = 100;
+
+  @Override
+  public String purpose() {
+    return "a fleet of gateways under faults: processes of the program, or in simulated time";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(null, "mode", true, "sockets: each gateway is a process of the program (the default); "
+            + "virtual: simulated time")
+        .addOption(null, "gateways", true, "gateways (24)")
+        .addOption(null, "engines", true, "engines at the start (12)")
+        .addOption(null, "zones", true, "zones that gateways and engines are spread over (3)")
+        .addOption(null, "seconds", true, "how long queries come (20)")
+        .addOption(null, "load", true, "share of all cores that the queries need, in hundredths (70)")
+        .addOption(null, "skew", true, "exponent of Zipf's law over the gateways, in hundredths (80)")
+        .addOption(null, "large", true, "share of engines with twice the cores (0)")
+        .addOption(null, "believed", true, "how many gateways their settings name (as many as there are)")
+        .addOption(null, "script", true, "a file, or one of " + Script.NAMED + " (calm)")
+        .addOption(null, "policy", true, "reachloom, or in simulated time random, two, "
+            + "reported, fresh, oracle")
+        .addOption(null, "jar", true, "the program, on sockets (the one built beside the laboratory)")
+        .addOption(null, "heap-mb", true, "heap of each gateway, on sockets (24)")
+        .addOption(null, "seed", true, "for all that is drawn (1)")
+        .addOption(null, "json", true, "file for the figures")
+        .addOption(null, "logs", true, "folder for the gateways' logs, on sockets");
+  }
+
+  @Override
+  public int run(CommandLine line) throws Exception {
+    String mode = line.getOptionValue("mode", "sockets");
+    if (!mode.equals("virtual") && !mode.equals("sockets")) {
+      throw new ParseException("--mode: '" + mode + "' is neither virtual nor sockets");
+    }
+    int gateways = Lab.number(line, "gateways", 24, 1, 1_000);
+    Plan plan = new Plan(gateways, Lab.number(line, "engines", 12, 1, 500), Lab.number(line, "zones", 3,
+        1, 16),
+        Lab.number(line, "seconds", 20, 2, 600), Lab.number(line, "load", 70, 1, 300) / HUNDREDTHS,
+        Lab.number(line, "skew", 80, 0, 300) / HUNDREDTHS, Lab.share(line, "large", 0),
+        Lab.number(line, "believed", gateways, 1, 10_000),
+        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE));
+    Script script;
+    try {
+      script = Script.of(line.getOptionValue("script", "calm"));
+    } catch (Script.Unusable e) {
+      throw new ParseException("--script: " + e.getMessage());
+    }
+    String policy = line.getOptionValue("policy", "reachloom");
+    Map<String, Object> figures;
+    if (mode.equals("virtual")) {
+      VirtualFleet.Policy made =
+          policy.equals("reachloom") ? (actions, world, g) -> new Choice(actions) : Baseline.named(policy);
+      if (made == null) {
+        throw new ParseException("--policy: '" + policy + "' is not known");
+      }
+      figures = new VirtualFleet(plan, made).play(script);
+    } else {
+      figures = sockets(line, plan, script);
+    }
+    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
+    if (line.hasOption("json")) {
+      write(Path.of(line.getOptionValue("json")), mode, policy, script, plan, figures);
+    }
+    return 0;
+  }
+
+  private static Map<String, Object> sockets(CommandLine line, Plan plan, Script script) throws Exception {
+    boolean kept = line.hasOption("logs");
+    Path folder = kept ? Files.createDirectories(Path.of(line.getOptionValue("logs")))
+        : Files.createTempDirectory("reachloom-fleet");
+    try (ProcessFleet fleet =
+        new ProcessFleet(plan, folder, jar(line), Lab.number(line, "heap-mb", 24, 8, 512))) {
+      return fleet.play(script);
+    } finally {
+      if (!kept) {
+        try (var files = Files.walk(folder)) {
+          files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+      }
+    }
+  }
+
+  /**
+   * The program: given, or where the build leaves it, seen from the laboratory's; null for the class path.
+   */
+  private static Path jar(CommandLine line) throws ParseException {
+    if (line.hasOption("jar")) {
+      Path given = Path.of(line.getOptionValue("jar"));
+      if (!Files.isReadable(given)) {
+        throw new ParseException("--jar: '" + given + "' can't be read");
+      }
+      return given;
+    }
+    Path own = Path.of(System.getProperty("java.class.path")).toAbsolutePath();
+    Path built = own.getParent().resolve("../../gateway/target/reachloom.jar").normalize();
+    return own.toString().endsWith(".jar") && Files.isReadable(built) ? built : null;
+  }
+
+  private static void write(Path file, String mode, String policy, Script script, Plan plan,
+      Map<String, Object> figures) throws IOException {
+    Map<String, Object> whole = new LinkedHashMap<>();
+    whole.put("mode", mode);
+    whole.put("policy", policy);
+    whole.put("script", script.name());
+    whole.put("plan", plan);
+    whole.put("figures", figures);
+    Files.writeString(file,
+        new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/Hosts.java
@@ -0,0 +1,412 @@
+package reachloom.lab.fleet;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import reachloom.gateway.wire.Decoder;
+import reachloom.gateway.wire.DecodingHandler;
+import reachloom.gateway.wire.Listener;
+import reachloom.standin.model.EngineModel;
+import reachloom.standin.model.EngineModel.Mood;
+
+/**
+ * The engines and the change logs on loopback sockets. Each engine has an address for the gateways of each
+ * zone, so that the way between two zones can be made bad; what is lost on a way that is cut comes once it is
+ * well again, as it would by TCP, where the connection has not been given up meanwhile.
+ */
+final class Hosts implements AutoCloseable {
+  private static final int FIRST_OCTET = 40; // of 127.x: an x for the gateways of each zone
+  private static final int LIST_HOST = 250;
+  private static final int HOSTS = 200;
+  private static final int SOCKET_THREADS = 3;
+  private static final int BACKLOG = 1_024;
+  private static final int READ = 2_048;
+  private static final AttributeKey OF = new AttributeKey(Hosts.class, "of");
+  private static final String ROW = "a\tb\tc\n";
+
+  /** A connection of a gateway: to which engine, from which zone. */
+  private static final class Conn {
+    private final IoSession session;
+    private final EngineModel engine;
+    private final int zone;
+    private final Map<String, Truth.Try> open = new HashMap<>();
+
+    Conn(IoSession session, EngineModel engine, int zone) {
+      this.session = session;
+      this.engine = engine;
+      this.zone = zone;
+    }
+  }
+
+  private final World world;
+  private final Truth truth;
+  private final int port;
+  private final NioSocketAcceptor engines = new NioSocketAcceptor(SOCKET_THREADS);
+  private final List<NioSocketAcceptor> lists = new ArrayList<>();
+  private final Map<InetSocketAddress, EngineModel> byAddress = new HashMap<>();
+  private final Set<Conn> conns = new HashSet<>();
+  private final Map<World.Link, ArrayDeque<Runnable>> held = new HashMap<>();
+  private long accepted;
+  private int most;
+  private long probes;
+
+  Hosts(World world, Truth truth) throws IOException {
+    this.world = world;
+    this.truth = truth;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    prepare(engines, new DecodingHandler<>("gateway", CommandDecoder::new, new Asked()));
+    for (EngineModel e : world.engines.values()) {
+      bind(e);
+    }
+    for (World.View v : world.views) {
+      NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
+      prepare(acceptor, new DecodingHandler<>("gateway", HelloDecoder::new, new Followed(v)));
+      acceptor.bind(listAddress(v.zone));
+      lists.add(acceptor);
+    }
+    world.onAdded(e -> attempt(() -> bind(e)));
+    world.onEnd(this::end);
+    world.onReach(v -> attempt(() -> reach(v)));
+  }
+
+  private static void prepare(NioSocketAcceptor acceptor, DecodingHandler<?> handler) {
+    acceptor.setReuseAddress(true);
+    acceptor.setBacklog(BACKLOG);
+    acceptor.getSessionConfig().setTcpNoDelay(true);
+    acceptor.getSessionConfig().setReadBufferSize(READ);
+    acceptor.setHandler(handler);
+    acceptor.setCloseOnDeactivation(false);
+  }
+
+  private interface Attempted {
+    void run() throws IOException;
+  }
+
+  private static void attempt(Attempted work) {
+    try {
+      work.run();
+    } catch (IOException e) {
+      System.err.println("a stand-in can't be reached: " + e.getMessage());
+    }
+  }
+
+  /** Where gateways of that zone find that engine. */
+  InetSocketAddress address(int engine, int zone) {
+    return at(zone, engine / HOSTS, engine % HOSTS + 1);
+  }
+
+  /** Where gateways of that zone find their change log. */
+  InetSocketAddress listAddress(int zone) {
+    return at(zone, LIST_HOST, 1);
+  }
+
+  private InetSocketAddress at(int zone, int third, int fourth) {
+    try {
+      byte[] address = {127, (byte) (FIRST_OCTET + zone), (byte) third, (byte) fourth};
+      return new InetSocketAddress(InetAddress.getByAddress(address), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  int mostConnections() {
+    return most;
+  }
+
+  long accepted() {
+    return accepted;
+  }
+
+  long probes() {
+    return probes;
+  }
+
+  private void bind(EngineModel e) throws IOException {
+    for (int z = 0; z < world.plan.zones(); z++) {
+      InetSocketAddress address = address(e.id, z);
+      synchronized (byAddress) {
+        byAddress.put(address, e);
+      }
+      if (!engines.getLocalAddresses().contains(address)) {
+        engines.bind(address);
+      }
+    }
+  }
+
+  /** An engine's process has ended: its connections are reset, new ones refused. */
+  private void end(EngineModel e) {
+    for (int z = 0; z < world.plan.zones(); z++) {
+      engines.unbind(address(e.id, z));
+    }
+    for (Conn c : List.copyOf(conns)) {
+      if (c.engine == e) {
+        c.session.closeNow();
+      }
+    }
+  }
+
+  private void reach(World.View v) throws IOException {
+    NioSocketAcceptor acceptor = lists.get(v.zone);
+    if (v.isDown()) {
+      acceptor.unbind();
+      acceptor.getManagedSessions().values().forEach(IoSession::closeNow);
+    } else {
+      acceptor.bind(listAddress(v.zone));
+    }
+  }
+
+  // ---- Engines ----
+
+  private World.Link link(Conn c) {
+    return world.link(c.zone, world.plan.zoneOfEngine(c.engine.id));
+  }
+
+  /** Does what a message brings about once it has come over that way; in order on each way. */
+  private void over(World.Link link, boolean cut, Runnable arrival) {
+    if (cut || held.containsKey(link)) {
+      held.computeIfAbsent(link, l -> new ArrayDeque<>()).addLast(arrival);
+      if (held.get(link).size() == 1) {
+        heal(link);
+      }
+    } else if (link.delay > 0) {
+      world.time.at(world.time.now() + link.delay, arrival);
+    } else {
+      arrival.run();
+    }
+  }
+
+  /** What was held up comes once the way is well, in its order. */
+  private void heal(World.Link link) {
+    world.time.at(world.time.now() + 20 * Plan.MILLISECOND, () -> {
+      if (link.cutIn || link.cutOut) {
+        heal(link);
+      } else {
+        ArrayDeque<Runnable> due = held.remove(link);
+        due.forEach(Runnable::run);
+      }
+    });
+  }
+
+  private final class Asked implements Listener<Command> {
+    @Override
+    public void opened(IoSession session) {
+      InetSocketAddress address = (InetSocketAddress) session.getLocalAddress();
+      EngineModel e;
+      synchronized (byAddress) {
+        e = byAddress.get(address);
+      }
+      Conn c = new Conn(session, e, (address.getAddress().getAddress()[1] & 0xff) - FIRST_OCTET);
+      session.setAttribute(OF, c);
+      world.time.at(0, () -> {
+        conns.add(c);
+        accepted++;
+        most = Math.max(most, conns.size());
+      });
+    }
+
+    @Override
+    public void received(IoSession session, Command command, int bytes) {
+      Conn c = (Conn) session.getAttribute(OF);
+      long sentAt = world.time.now();
+      world.time.at(0, () -> over(link(c), link(c).cutOut, () -> heard(c, command, sentAt)));
+    }
+
+    @Override
+    public void closed(IoSession session) {
+      Conn c = (Conn) session.getAttribute(OF);
+      if (c != null) {
+        world.time.at(0, () -> {
+          conns.remove(c);
+          c.open.forEach((id, t) -> {
+            c.engine.quit(id);
+            truth.ended(t, world.time.now());
+          });
+          c.open.clear();
+        });
+      }
+    }
+  }
+
+  private void heard(Conn c, Command command, long sentAt) {
+    if (c.session.isClosing()) {
+      return;
+    }
+    switch (command.word()) {
+      case "ASK" -> ask(c, command, sentAt);
+      case "QUIT" -> {
+        c.engine.quit(command.id());
+        truth.ended(c.open.remove(command.id()), world.time.now());
+      }
+      case "INFO", "NOOP" -> {
+        probes++;
+        EngineModel.Load l = c.engine.load();
+        say(c, command.id() + " UP use=util:" + round(l.util()) + ";queue:" + round(l.queue()) + ";x0:"
+            + round(l.memory()), "");
+      }
+      default -> {
+        // all answers fit on one page, and priorities are not heeded
+      }
+    }
+  }
+
+  private static double round(double value) {
+    return Math.round(value * 1e4) / 1e4;
+  }
+
+  private void ask(Conn c, Command command, long sentAt) {
+    String id = command.id();
+    Workload.Arrival a = Clients.read(command);
+    EngineModel e = c.engine;
+    Truth.Try[] mine = new Truth.Try[1];
+    boolean runs = e.mood() != Mood.DOWN && e.ask(id, a.work(), a.of().threads(), a.of().memoryMb(),
+        new EngineModel.Asker() {
+          @Override
+          public void served(double work, double memoryMb) {
+            over(id, " OK fetches=1,effort=" + Math.round(work * 1e3) + ",high=" + Math.round(memoryMb), ROW);
+          }
+
+          @Override
+          public void error() {
+            over(id, " ERR -", "");
+          }
+
+          private void over(String of, String words, String body) {
+            truth.ended(mine[0], world.time.now());
+            if (c.open.remove(of) != null) {
+              say(c, of + words, body);
+            }
+          }
+
+          @Override
+          public void progress(double share) {
+            if (c.open.containsKey(id)) {
+              say(c, id + " NOTE detail=so_far,figure=" + round(share), "");
+            }
+          }
+
+          @Override
+          public void died() {
+            truth.ended(mine[0], world.time.now()); // the connection goes with the process
+            c.open.remove(id);
+          }
+        });
+    mine[0] = truth.came(a.number(), e.id, -1, world.time.now(), sentAt, runs);
+    if (runs && mine[0] != null) {
+      c.open.put(id, mine[0]);
+    } else if (e.mood() != Mood.DOWN) {
+      say(c, id + " BUSY -", "");
+    }
+  }
+
+  private void say(Conn c, String head, String body) {
+    byte[] bytes = (head + " " + body.length() + "\r\n" + body + "\r\n").getBytes(StandardCharsets.UTF_8);
+    over(link(c), link(c).cutIn, () -> c.session.write(IoBuffer.wrap(bytes)));
+  }
+
+  // ---- The change log ----
+
+  /** The number that a gateway begins with. */
+  private static final class HelloDecoder implements Decoder<Long> {
+    private long number;
+    private int have;
+
+    @Override
+    public boolean partial() {
+      return have > 0 && have < Long.BYTES;
+    }
+
+    @Override
+    public String feed(byte[] bytes, int from, int to, java.util.function.Consumer<? super Long> messages) {
+      for (int at = from; at < to; at++) {
+        if (have == Long.BYTES) {
+          return "more than a number";
+        }
+        number = number << Byte.SIZE | bytes[at] & 0xff;
+        if (++have == Long.BYTES) {
+          messages.accept(number);
+        }
+      }
+      return null;
+    }
+  }
+
+  private final class Followed implements Listener<Long> {
+    private final World.View view;
+    private final Map<IoSession, Integer> next = new HashMap<>();
+
+    Followed(World.View view) {
+      this.view = view;
+      view.hear(e -> next.keySet().forEach(this::bring));
+      beat();
+    }
+
+    private void beat() {
+      next.keySet().forEach(s -> s.write(IoBuffer.wrap(frame(view.log.size(), null))));
+      world.time.at(world.time.now() + Plan.SECOND, this::beat);
+    }
+
+    private void bring(IoSession s) {
+      int from = next.get(s);
+      for (World.Event e : view.log.subList(from, view.log.size())) {
+        s.write(IoBuffer.wrap(frame(e.number(), e.engine())));
+      }
+      next.put(s, view.log.size());
+    }
+
+    private byte[] frame(long number, World.Listed e) {
+      int size = Long.BYTES + 1 + (e == null ? 0 : 27);
+      ByteBuffer out = ByteBuffer.allocate(Integer.BYTES + size).putInt(size).putLong(number)
+          .put((byte) (e == null ? 0 : 2));
+      if (e != null) {
+        InetSocketAddress a = address(e.id(), view.zone);
+        out.putInt(e.id()).put(a.getAddress().getAddress()).putShort((short) a.getPort())
+            .put((byte) e.state()).put((byte) world.plan.zoneOfEngine(e.id()))
+            .put((byte) (world.plan.isLarge(e.id()) ? 1 : 0)).putShort((short) 0).putInt(1_000)
+            .putLong(e.startedMs());
+      }
+      return out.array();
+    }
+
+    @Override
+    public void opened(IoSession session) {
+      // it speaks first
+    }
+
+    @Override
+    public void received(IoSession session, Long last, int bytes) {
+      world.time.at(0, () -> {
+        next.put(session, (int) Math.min(last, view.log.size()));
+        bring(session);
+        session.write(IoBuffer.wrap(frame(view.log.size(), null)));
+      });
+    }
+
+    @Override
+    public void closed(IoSession session) {
+      world.time.at(0, () -> next.remove(session));
+    }
+  }
+
+  @Override
+  public void close() {
+    engines.dispose();
+    lists.forEach(NioSocketAcceptor::dispose);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
@@ -0,0 +1,216 @@
+package reachloom.lab.fleet;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.standin.model.RealTime;
+
+/** The fleet as processes of the program, among engines, change logs and clients on loopback. */
+final class ProcessFleet implements Director.Gateways, AutoCloseable {
+  private static final long FRONT_NOTICE = Plan.SECOND;
+  private static final long SETTLE = Plan.SECOND;
+  private static final long MEMORY_GAP = 2 * Plan.SECOND;
+  private static final long LATEST = Plan.SECOND;
+  private static final int PATIENCE_S = 60;
+
+  private final Plan plan;
+  private final RealTime time = new RealTime("world");
+  private final World world;
+  private final SplittableRandom random;
+  private final Processes processes;
+  private final boolean[] up;
+  private final long[] changedAt;
+  private final long[] lives;
+  private Truth truth;
+  private Hosts hosts;
+  private Clients clients;
+  private Workload workload;
+  private double memoryMost;
+  private double memoryAll;
+  private long latest;
+
+  /** A fleet whose files go to that folder; {@code jar} null takes the program from the class path. */
+  ProcessFleet(Plan plan, Path folder, Path jar, int heapMb) throws IOException {
+    this.plan = plan;
+    world = new World(plan, time);
+    random = new SplittableRandom(plan.seed() * 13 + 11);
+    up = new boolean[plan.gateways()];
+    changedAt = new long[plan.gateways()];
+    lives = new long[plan.gateways()];
+    processes = new Processes(folder, jar, plan.gateways(), heapMb, this::configuration);
+  }
+
+  /** What a gateway is told at its start: the list as its view has it now. */
+  private String configuration(int gateway) {
+    AtomicReference<String> text = new AtomicReference<>();
+    onWorld(() -> {
+      World.View view = world.views.get(plan.zoneOf(gateway));
+      Map<Integer, World.Listed> known = new java.util.LinkedHashMap<>();
+      view.log.forEach(e -> known.put(e.engine().id(), e.engine()));
+      List<ObjectNode> engines = new ArrayList<>();
+      known.values().forEach(e -> engines.add(Conditions.host(plan, e, hosts.address(e.id(), view.zone))));
+      text.set(Conditions.configuration(plan, gateway,
+          plan.seed() * 1_000_003 + gateway + ++lives[gateway] * 7_919,
+          processes.addresses().get(gateway), hosts.listAddress(view.zone), view.log.size(), engines));
+    });
+    return text.get();
+  }
+
+  private void onWorld(Runnable work) {
+    CountDownLatch done = new CountDownLatch(1);
+    time.at(0, () -> {
+      try {
+        work.run();
+      } finally {
+        done.countDown();
+      }
+    });
+    try {
+      if (!done.await(PATIENCE_S, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("the world stands still");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Plays the script; gives the figures. */
+  Map<String, Object> play(Script script) throws IOException, InterruptedException {
+    AtomicReference<IOException> failed = new AtomicReference<>();
+    onWorld(() -> {
+      truth = new Truth(world, time.now());
+      try {
+        hosts = new Hosts(world, truth);
+      } catch (IOException e) {
+        failed.set(e);
+      }
+    });
+    if (failed.get() != null) {
+      throw failed.get();
+    }
+    long from = time.now();
+    processes.archive();
+    int ready = processes.startAll();
+    long started = time.now() - from;
+    System.err.printf("%d of %d gateways are ready after %.1f s%n", ready, plan.gateways(), started / 1e9);
+    long start = time.now() + SETTLE;
+    long end = start + plan.seconds() * Plan.SECOND;
+    onWorld(() -> {
+      java.util.Arrays.fill(up, true);
+      truth.begin(start);
+      workload = new Workload(plan, start);
+      clients = new Clients(world, truth, processes.addresses(), processes::killed);
+      new Director(world, this, workload, truth).play(script, start, () -> time.now() < end);
+      time.at(start, () -> truth.watch(end));
+      look(end);
+      next(end);
+    });
+    long longest = Workload.KINDS.stream().mapToLong(Workload.Kind::deadline).max().orElse(0);
+    while (time.now() < end + longest + Plan.SECOND && !settled(end)) {
+      Thread.sleep(100);
+    }
+    Thread.sleep(500); // what is still on its way
+    AtomicReference<Map<String, Object>> figures = new AtomicReference<>();
+    onWorld(() -> {
+      Map<String, Object> f = truth.figures(time.now(), start);
+      f.put("connections_max", hosts.mostConnections());
+      f.put("handshakes", hosts.accepted());
+      f.put("probes_per_s", hosts.probes() / plan.seconds());
+      f.put("gateways_ready", ready);
+      f.put("ready_s", Math.round(started / 1e8) / 10.0);
+      f.put("crashed", processes.crashed().size());
+      f.put("rss_mb_max", Math.round(memoryMost * 10) / 10.0);
+      f.put("rss_mb_all", Math.round(memoryAll));
+      f.put("clients_late_ms", latest / Plan.MILLISECOND);
+      figures.set(f);
+    });
+    return figures.get();
+  }
+
+  private boolean settled(long end) {
+    return time.now() > end + Plan.SECOND && truth.allAnswered();
+  }
+
+  private void look(long end) {
+    double[] memory = processes.memory();
+    memoryMost = Math.max(memoryMost, memory[0]);
+    memoryAll = Math.max(memoryAll, memory[1]);
+    if (time.now() < end) {
+      time.at(time.now() + MEMORY_GAP, () -> look(end));
+    }
+  }
+
+  private void next(long end) {
+    Arrival a = workload.next();
+    if (a.at() < end) {
+      time.at(a.at(), () -> {
+        latest = Math.max(latest, time.now() - a.at());
+        place(a);
+        next(end);
+      });
+    }
+  }
+
+  private void place(Arrival a) {
+    int g = a.gateway();
+    if (!up[g] && time.now() > changedAt[g] + FRONT_NOTICE) {
+      List<Integer> others = new ArrayList<>();
+      for (int i = 0; i < up.length; i++) {
+        if (up[i]) {
+          others.add(i);
+        }
+      }
+      g = others.isEmpty() ? g : others.get(random.nextInt(others.size()));
+    }
+    if (up[g]) {
+      clients.send(a, g);
+    } else {
+      truth.unplaced(a);
+    }
+  }
+
+  @Override
+  public void kill(int gateway) {
+    up[gateway] = false;
+    changedAt[gateway] = time.now();
+    processes.kill(gateway);
+  }
+
+  @Override
+  public void terminate(int gateway) {
+    up[gateway] = false;
+    changedAt[gateway] = time.now() - FRONT_NOTICE - LATEST; // its front takes it out first
+    processes.terminate(gateway);
+  }
+
+  @Override
+  public void halt(int gateway, boolean now) {
+    processes.halt(gateway, now);
+  }
+
+  @Override
+  public void start(int gateway) {
+    processes.restart(gateway, () -> time.at(0, () -> up[gateway] = true));
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    processes.close();
+    time.close();
+    if (clients != null) {
+      clients.close();
+    }
+    if (hosts != null) {
+      hosts.close();
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/Script.java
@@ -0,0 +1,118 @@
+package reachloom.lab.fleet;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.transform.stream.StreamSource;
+import javax.xml.validation.SchemaFactory;
+import org.w3c.dom.Element;
+import org.w3c.dom.Node;
+import org.xml.sax.ErrorHandler;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+
+/** A script of troubles, in XML that {@code script.xsd} describes. */
+record Script(String name, List<Trouble> troubles) {
+  /** Scripts that the program brings along. */
+  static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
+      "restart",
+      "stall", "list", "cut", "surge");
+  static final Script NONE = new Script("none", List.of());
+
+  /** A script that can't be used: the text names the line, and what is wrong there. */
+  static final class Unusable extends Exception {
+    private static final long serialVersionUID = 1;
+
+    Unusable(String why) {
+      super(why);
+    }
+  }
+
+  /** The script of that name, or in the file of that name. */
+  static Script of(String nameOrFile) throws Unusable {
+    if (NAMED.contains(nameOrFile)) {
+      try (InputStream in = Script.class.getResourceAsStream("script-" + nameOrFile + ".xml")) {
+        return read(in, nameOrFile);
+      } catch (IOException e) {
+        throw new Unusable(nameOrFile + ": " + e.getMessage());
+      }
+    }
+    Path file = Path.of(nameOrFile);
+    if (!Files.isReadable(file)) {
+      throw new Unusable("'" + nameOrFile + "' is neither a file nor one of " + NAMED);
+    }
+    try (InputStream in = Files.newInputStream(file)) {
+      return read(in, nameOrFile);
+    } catch (IOException e) {
+      throw new Unusable(nameOrFile + ": cannot be read (" + e.getClass().getSimpleName() + ")");
+    }
+  }
+
+  static Script read(InputStream in, String name) throws IOException, Unusable {
+    try (InputStream schema = Script.class.getResourceAsStream("script.xsd")) {
+      DocumentBuilderFactory factory = DocumentBuilderFactory.newInstance();
+      factory.setNamespaceAware(true);
+      factory.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+      factory.setSchema(SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI)
+          .newSchema(new StreamSource(schema)));
+      var builder = factory.newDocumentBuilder();
+      builder.setErrorHandler(new Strict());
+      List<Trouble> troubles = new ArrayList<>();
+      for (Node n = builder.parse(in).getDocumentElement().getFirstChild(); n != null;
+          n = n.getNextSibling()) {
+        if (n instanceof Element e) {
+          troubles.add(trouble(e, name));
+        }
+      }
+      return new Script(name, List.copyOf(troubles));
+    } catch (SAXParseException e) {
+      throw new Unusable(name + ": line " + e.getLineNumber() + ": " + e.getMessage());
+    } catch (SAXException | ParserConfigurationException e) {
+      throw new Unusable(name + ": " + e.getMessage());
+    }
+  }
+
+  private static Trouble trouble(Element e, String name) throws Unusable {
+    Trouble.Kind kind = Trouble.Kind.valueOf(e.getAttribute("do").replace('-', '_').toUpperCase(Locale.ROOT));
+    Trouble.Who who = Trouble.Who.valueOf(e.getLocalName().toUpperCase(Locale.ROOT));
+    if (kind.who != who) {
+      throw new Unusable(name + ": " + e.getLocalName() + ": nothing there can '"
+          + e.getAttribute("do") + "'");
+    }
+    return new Trouble(number(e, "at", 0), who, kind, number(e, "share", 1), (int) number(e, "zone", -1),
+        (int) number(e, "far", -1), number(e, "by", 1), number(e, "for", 0), number(e, "within", 0));
+  }
+
+  private static double number(Element e, String key, double standard) {
+    return e.hasAttribute(key) ? Double.parseDouble(e.getAttribute(key)) : standard;
+  }
+
+  /** The last moment at which something happens, in seconds. */
+  double end() {
+    return troubles.stream().mapToDouble(t -> t.at() + t.lasts() + t.within()).max().orElse(0);
+  }
+
+  private static final class Strict implements ErrorHandler {
+    @Override
+    public void warning(SAXParseException e) {
+      // what is only odd is taken
+    }
+
+    @Override
+    public void error(SAXParseException e) throws SAXParseException {
+      throw e;
+    }
+
+    @Override
+    public void fatalError(SAXParseException e) throws SAXParseException {
+      throw e;
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
@@ -0,0 +1,501 @@
+package reachloom.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.Report;
+import reachloom.Decisions.Settings;
+import reachloom.config.SettingsReader;
+import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.standin.model.Agenda;
+import reachloom.standin.model.EngineModel;
+
+/**
+ * The fleet in simulated time: each gateway hosts the real decisions, or a policy to compare them with. The
+ * same plan and script give the same figures to the byte.
+ */
+final class VirtualFleet implements Director.Gateways {
+  private static final long START = 1_700_000_000L * Plan.SECOND;
+  private static final long NEAR = 200_000; // nanoseconds, one way
+  private static final long FAR = Plan.MILLISECOND;
+  private static final long PROBE_TIMEOUT = 250 * Plan.MILLISECOND;
+  private static final long FAREWELL = 5 * Plan.MILLISECOND;
+  /** The front in front of the gateways learns so late that one has died. */
+  private static final long FRONT_NOTICE = Plan.SECOND;
+  private static final long SETTLE = 2 * Plan.SECOND;
+  private static final long HEARD = 100 * Plan.MILLISECOND;
+  /** Time-outs come so long before the deadline, or a part of its time, as on sockets. */
+  private static final long AHEAD = 80 * Plan.MILLISECOND;
+  private static final int AHEAD_PART = 10;
+
+  /** Makes the decisions of a gateway. */
+  interface Policy {
+    Events make(Actions actions, World world, int gateway);
+  }
+
+  private final Plan plan;
+  private final Policy policy;
+  private final Agenda time = new Agenda(START);
+  private final World world;
+  private final Truth truth;
+  private final Workload workload;
+  private final Director director;
+  private final List<Front> fronts = new ArrayList<>();
+  private final SplittableRandom random;
+  private long connections;
+  private long connectionsMost;
+  private long handshakes;
+  private long probes;
+  private long listLines;
+
+  VirtualFleet(Plan plan, Policy policy) {
+    this.plan = plan;
+    this.policy = policy;
+    world = new World(plan, time);
+    truth = new Truth(world, START);
+    workload = new Workload(plan, START + SETTLE);
+    director = new Director(world, this, workload, truth);
+    random = new SplittableRandom(plan.seed() * 13 + 11);
+    for (int g = 0; g < plan.gateways(); g++) {
+      fronts.add(new Front(g));
+    }
+  }
+
+  /** Plays the script; gives the figures. */
+  Map<String, Object> play(Script script) {
+    for (Front f : fronts) {
+      time.at(START + (long) (random.nextDouble() * SETTLE / 2), f::start);
+    }
+    long end = START + SETTLE + plan.seconds() * Plan.SECOND;
+    director.play(script, START + SETTLE, () -> time.now() < end);
+    truth.watch(end);
+    next(end);
+    time.runUntil(end);
+    long longest = Workload.KINDS.stream().mapToLong(Workload.Kind::deadline).max().orElse(0);
+    time.runUntil(end + longest + Plan.SECOND);
+    Map<String, Object> f = truth.figures(time.now(), START + SETTLE);
+    f.put("connections_max", connectionsMost);
+    f.put("handshakes", handshakes);
+    f.put("probes_per_s", probes / plan.seconds());
+    f.put("list_lines", listLines);
+    return f;
+  }
+
+  private void next(long end) {
+    Arrival a = workload.next();
+    if (a.at() < end) {
+      time.at(a.at(), () -> {
+        place(a);
+        next(end);
+      });
+    }
+  }
+
+  private void place(Arrival a) {
+    Front f = fronts.get(a.gateway());
+    if (!f.up && time.now() > f.changedAt + FRONT_NOTICE) {
+      List<Front> up = fronts.stream().filter(x -> x.up).toList();
+      f = up.isEmpty() ? f : up.get(random.nextInt(up.size()));
+    }
+    if (!f.up) {
+      truth.unplaced(a);
+      return;
+    }
+    truth.taken(a, f.number, time.now());
+    Front to = f;
+    f.tell(f.life, () -> to.arrive(a), 0);
+  }
+
+  @Override
+  public void kill(int gateway) {
+    fronts.get(gateway).die(true);
+  }
+
+  @Override
+  public void terminate(int gateway) {
+    fronts.get(gateway).die(false);
+  }
+
+  @Override
+  public void halt(int gateway, boolean now) {
+    fronts.get(gateway).halt(now);
+  }
+
+  @Override
+  public void start(int gateway) {
+    if (!fronts.get(gateway).up) {
+      fronts.get(gateway).start();
+    }
+  }
+
+  private static final class Out {
+    private final EngineModel engine;
+    private final long sentAt;
+    private Truth.Try seen;
+    private boolean over;
+    private boolean quit;
+
+    Out(EngineModel engine, long sentAt) {
+      this.engine = engine;
+      this.sentAt = sentAt;
+    }
+  }
+
+  private static final class Open {
+    private final Arrival arrival;
+    private final List<Out> tries = new ArrayList<>(1);
+    private boolean over;
+
+    Open(Arrival arrival) {
+      this.arrival = arrival;
+    }
+  }
+
+  /** One gateway: carries out what its decisions say. */
+  private final class Front implements Actions {
+    private final int number;
+    private final int zone;
+    private final Settings settings;
+    private final Map<String, Open> open = new LinkedHashMap<>();
+    private final Map<Integer, Long> links = new HashMap<>();
+    /** What came while it stood still: the list of engines goes first, as on sockets. */
+    private final List<Runnable> waitingFirst = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private Events module;
+    private boolean up;
+    private boolean halted;
+    private long changedAt;
+    private int life;
+    private int heardOf;
+
+    Front(int number) {
+      this.number = number;
+      zone = plan.zoneOf(number);
+      settings = SettingsReader.read(Conditions.settings(plan, number));
+      World.View view = world.views.get(zone);
+      view.hear(e -> hear(view));
+    }
+
+    // ---- Its life ----
+
+    void start() {
+      life++;
+      up = true;
+      halted = false;
+      changedAt = time.now();
+      module = policy.make(this, world, number);
+      module.start(time.now(), random.nextLong(), settings);
+      World.View view = world.views.get(zone);
+      Map<Integer, World.Listed> known = new LinkedHashMap<>();
+      view.log.forEach(e -> known.put(e.engine().id(), e.engine()));
+      heardOf = view.log.size();
+      listLines += known.size();
+      module.engines(time.now(), true, known.values().stream().filter(l -> l.state() != World.GONE)
+          .map(this::info).toList());
+    }
+
+    /** It ends; at once, with all that it has open, or as at a planned restart once that is answered. */
+    void die(boolean atOnce) {
+      if (!up) {
+        return;
+      }
+      up = false;
+      changedAt = time.now();
+      int mine = life;
+      long wait = atOnce ? 0 : 3 * Plan.SECOND;
+      time.at(time.now() + wait, () -> {
+        if (mine != life) {
+          return;
+        }
+        life++;
+        for (Open o : List.copyOf(open.values())) {
+          truth.orphaned(o.arrival.number(), true);
+          o.tries.stream().filter(t -> !t.over).forEach(t -> quit(o, t));
+        }
+        open.clear();
+        waitingFirst.clear();
+        waiting.clear();
+        connections -= links.size();
+        links.clear();
+      });
+    }
+
+    void halt(boolean now) {
+      halted = now;
+      if (!now) {
+        List<Runnable> due = new ArrayList<>(waitingFirst);
+        due.addAll(waiting);
+        waitingFirst.clear();
+        waiting.clear();
+        due.forEach(Runnable::run);
+      }
+    }
+
+    /** Does something of that life of the gateway after a while; one that stands still hears it later. */
+    private void tell(int of, Runnable event, long wait) {
+      tell(of, event, wait, waiting);
+    }
+
+    private void tell(int of, Runnable event, long wait, List<Runnable> line) {
+      time.at(time.now() + wait, () -> {
+        if (of == life) {
+          if (halted) {
+            line.add(event);
+          } else {
+            event.run();
+          }
+        }
+      });
+    }
+
+    private void hear(World.View view) {
+      tell(life, () -> {
+        if (view.isDown() || !up) {
+          return;
+        }
+        List<EngineInfo> news = view.log.subList(Math.min(heardOf, view.log.size()), view.log.size()).stream()
+            .map(e -> info(e.engine())).toList();
+        heardOf = view.log.size();
+        listLines += news.size();
+        if (!news.isEmpty()) {
+          module.engines(time.now(), false, news);
+        }
+      }, (long) (random.nextDouble() * HEARD), waitingFirst);
+    }
+
+    private EngineInfo info(World.Listed l) {
+      return new EngineInfo(World.name(l.id()), EngineState.values()[l.state()], plan.isLarge(l.id()) ? 1 : 0,
+          plan.zoneOfEngine(l.id()), 0, 1, l.startedMs() * Plan.MILLISECOND);
+    }
+
+    // ---- Queries ----
+
+    void arrive(Arrival a) {
+      Open o = new Open(a);
+      open.put(a.id(), o);
+      long left = a.at() + a.of().deadline() - time.now();
+      if (left <= 0) {
+        settle(o, Truth.Answer.FAILED);
+        return;
+      }
+      module.arrive(time.now(), new Query(a.id(), a.kind(), 0, null, left, 0, 0, -1, false));
+    }
+
+    private void settle(Open o, Truth.Answer answer) {
+      if (!o.over) {
+        o.over = true;
+        truth.answered(o.arrival.number(), answer, time.now());
+      }
+      drop(o);
+    }
+
+    private void drop(Open o) {
+      if (o.over && o.tries.stream().allMatch(t -> t.over)) {
+        open.remove(o.arrival.id());
+      }
+    }
+
+    private long way(World.Link link, int engineZone) {
+      return (engineZone == zone ? NEAR : FAR) + link.delay;
+    }
+
+    /** Books the connection; gives how long it takes until it is up. */
+    private long connect(int engine, long way) {
+      Long last = links.put(engine, time.now());
+      if (last != null && time.now() - last < Conditions.KEEPALIVE) {
+        return 0;
+      }
+      handshakes++;
+      connections += last == null ? 1 : 0;
+      connectionsMost = Math.max(connectionsMost, connections);
+      return 2 * way;
+    }
+
+    private void disconnect(int engine) {
+      connections -= links.remove(engine) == null ? 0 : 1;
+    }
+
+    @Override
+    public void send(String query, String engine, long timeout) {
+      Open o = open.get(query);
+      EngineModel e = world.engines.get(World.number(engine));
+      int place = o.tries.size();
+      Out t = new Out(e, time.now());
+      o.tries.add(t);
+      Arrival a = o.arrival;
+      long deadline = a.at() + a.of().deadline();
+      tell(life, () -> finish(o, place, Outcome.TIMEOUT, 0, 0),
+          deadline - Math.min(AHEAD, (deadline - a.at()) / AHEAD_PART) - time.now());
+      int engineZone = plan.zoneOfEngine(e.id);
+      World.Link link = world.link(zone, engineZone);
+      long way = way(link, engineZone);
+      long arrives = connect(e.id, way) + way;
+      int mine = life;
+      if (link.cutOut || link.cutIn && arrives > way) {
+        return; // silence: it is found by its missing signs
+      }
+      time.at(time.now() + arrives, () -> {
+        if (mine == life && !t.quit) {
+          come(o, place, t, link, way);
+        }
+      });
+    }
+
+    private void come(Open o, int place, Out t, World.Link link, long way) {
+      Arrival a = o.arrival;
+      EngineModel e = t.engine;
+      if (e.mood() == EngineModel.Mood.DOWN) {
+        disconnect(e.id);
+        answer(link, way, () -> finish(o, place, Outcome.UNREACHED, 0, 0));
+        return;
+      }
+      int mine = life;
+      EngineModel.Asker asker = new EngineModel.Asker() {
+        @Override
+        public void served(double work, double memoryMb) {
+          truth.ended(t.seen, time.now());
+          answer(link, way, () -> finish(o, place, Outcome.SERVED, (long) (work * 1e3), memoryMb));
+        }
+
+        @Override
+        public void error() {
+          truth.ended(t.seen, time.now());
+          answer(link, way, () -> finish(o, place, Outcome.ERROR, 0, 0));
+        }
+
+        @Override
+        public void progress(double share) {
+          if (mine == life && !t.over) {
+            answer(link, way, () -> module.note(time.now(),
+                new Note(a.id(), place, World.name(e.id), NoteKind.PROGRESS, share)));
+          }
+        }
+
+        @Override
+        public void died() {
+          truth.ended(t.seen, time.now());
+          disconnect(e.id);
+          answer(link, way, () -> finish(o, place, Outcome.RESET, 0, 0));
+        }
+      };
+      boolean runs = e.ask(a.id(), a.work(), a.of().threads(), a.of().memoryMb(), asker);
+      t.seen = truth.came(a.number(), e.id, number, time.now(), t.sentAt, runs);
+      if (!runs) {
+        Outcome why = e.mood() == EngineModel.Mood.DOWN ? Outcome.RESET : Outcome.FULL;
+        answer(link, way, () -> finish(o, place, why, 0, 0));
+      }
+    }
+
+    private void answer(World.Link link, long way, Runnable event) {
+      if (!link.cutIn) {
+        tell(life, event, way);
+      }
+    }
+
+    private void finish(Open o, int place, Outcome outcome, long costMs, double memoryMb) {
+      Out t = o.tries.get(place);
+      if (t.over) {
+        return;
+      }
+      t.over = true;
+      if (outcome == Outcome.TIMEOUT) {
+        quit(o, t);
+      }
+      if (outcome == Outcome.SERVED && !o.over) {
+        settle(o, Truth.Answer.SERVED);
+      }
+      module.end(time.now(), new AttemptEnd(o.arrival.id(), place, World.name(t.engine.id), outcome,
+          time.now() - t.sentAt, o.over, costMs, memoryMb, null));
+      drop(o);
+    }
+
+    /** Gives an attempt up at its engine, as far as the way goes. */
+    private void quit(Open o, Out t) {
+      t.quit = true;
+      int engineZone = plan.zoneOfEngine(t.engine.id);
+      World.Link link = world.link(zone, engineZone);
+      if (!link.cutOut) {
+        time.at(time.now() + way(link, engineZone), () -> {
+          t.engine.quit(o.arrival.id());
+          truth.ended(t.seen, time.now());
+        });
+      }
+    }
+
+    @Override
+    public void cancel(String query, int attempt) {
+      Open o = open.get(query);
+      if (o != null && !o.tries.get(attempt).over) {
+        quit(o, o.tries.get(attempt));
+        tell(life, () -> finish(o, attempt, Outcome.CANCELLED, 0, 0), FAREWELL);
+      }
+    }
+
+    @Override
+    public void refuse(String query, long retryAfter) {
+      Open o = open.get(query);
+      if (o != null) {
+        settle(o, Truth.Answer.REFUSED);
+      }
+    }
+
+    @Override
+    public void fail(String query) {
+      Open o = open.get(query);
+      if (o != null) {
+        settle(o, Truth.Answer.FAILED);
+      }
+    }
+
+    @Override
+    public void timer(long delay, long token) {
+      tell(life, () -> module.wake(time.now(), token), delay);
+    }
+
+    @Override
+    public void probe(String engine) {
+      probes++;
+      EngineModel e = world.engines.get(World.number(engine));
+      int engineZone = plan.zoneOfEngine(e.id);
+      World.Link link = world.link(zone, engineZone);
+      long way = way(link, engineZone);
+      long arrives = connect(e.id, way) + way;
+      if (!link.sound() && (link.cutIn || link.cutOut) || e.mood() == EngineModel.Mood.DOWN) {
+        tell(life, () -> module.probed(time.now(), engine, false, null), PROBE_TIMEOUT);
+        return;
+      }
+      tell(life, () -> {
+        EngineModel.Load l = e.load();
+        tell(life, () -> module.probed(time.now(), engine, true,
+            new Report(l.util(), l.queue(), l.memory(), 0)), way);
+      }, arrives);
+    }
+
+    @Override
+    public void terms(String query, double grantMb, int priority) {
+      // These engines heed neither.
+    }
+
+    @Override
+    public void watch() {
+      // The list is told unasked.
+    }
+
+    @Override
+    public void log(String line) {
+      // Nothing is read from it.
+    }
+  }
+}
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -21,6 +21,7 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 import reachloom.membership.State;
+import reachloom.standin.model.Agenda;
 
 /**
  * Many instances of the real gossip modules and the real codec under a simulated clock and network: loss,
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
@@ -0,0 +1,101 @@
+package reachloom.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import reachloom.Choice;
+
+/**
+ * Whole fleets in simulated time around the real decisions: spread, rules, and the hard cases of a narrow
+ * view.
+ */
+class VirtualFleetTest {
+  private static final VirtualFleet.Policy REACHLOOM = (actions, world, g) -> new Choice(actions);
+
+  private static Plan plan(int gateways, int engines, double load) {
+    return new Plan(gateways, engines, 3, 14, load, 0.8, 0, gateways, 5);
+  }
+
+  private static Map<String, Object> play(Plan plan, String script) throws Script.Unusable {
+    return new VirtualFleet(plan, REACHLOOM).play(Script.of(script));
+  }
+
+  private static double number(Map<String, Object> figures, String name) {
+    return ((Number) figures.get(name)).doubleValue();
+  }
+
+  private static void kept(Map<String, Object> f) {
+    assertEquals(0, number(f, "rules_broken"), f.toString());
+    assertEquals(0, number(f, "unanswered"), f.toString());
+    assertEquals(0, number(f, "fell_over"), f.toString());
+  }
+
+  @Test
+  void theSameSeedGivesTheSameFigures() throws Script.Unusable {
+    Plan plan = plan(20, 10, 0.7);
+    assertEquals(play(plan, "kill").toString(), play(plan, "kill").toString());
+    Plan other = new Plan(20, 10, 3, 14, 0.7, 0.8, 0, 20, 6);
+    assertNotEquals(play(plan, "kill").toString(), play(other, "kill").toString());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"calm", "kill", "release", "zone", "sick", "idle-report", "restart", "stall",
+      "list",
+      "cut", "surge"})
+  void rulesAreKeptAndServiceStandsInEachTrouble(String script) throws Script.Unusable {
+    Map<String, Object> f = play(plan(60, 24, 0.6), script);
+    kept(f);
+    boolean gatewaysDie = script.equals("kill") || script.equals("restart");
+    assertTrue(number(f, "service") > (gatewaysDie ? 0.88 : 0.95), f.toString());
+    assertEquals(0, number(f, "herds"), f.toString());
+    assertTrue(number(f, "idle_longest_s") <= 2, f.toString());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"60, 24, 3, 0.8, 0, 20", "60, 24, 3, 0.8, 0, 180", "60, 24, 3, 0, 0, 60",
+      "60, 24, 3, 1.5, 0, 60",
+      "50, 5, 1, 0.8, 0, 50", "3, 40, 1, 0.8, 0, 3", "4, 16, 4, 0.8, 0, 4", "5, 1, 1, 0.8, 0, 5",
+      "60, 60, 3, 0.8, 0.04, 60"})
+  void narrowViewsOfEveryShape(int gateways, int engines, int zones, double skew, double large, int believed)
+      throws Script.Unusable {
+    // Numbers that the settings get wrong by three times; no skew and much; few engines, few gateways, each
+    // alone in its zone; one engine; two of 60 with twice the cores.
+    Plan plan = new Plan(gateways, engines, zones, 14, 0.6, skew, large, believed, 5);
+    Map<String, Object> f = play(plan, "calm");
+    kept(f);
+    assertTrue(number(f, "service") > 0.97, f.toString());
+    assertTrue(number(f, "refused_while_idle") < 0.01, f.toString());
+  }
+
+  @Test
+  void hotGatewaysUseWhatOthersLeave() throws Script.Unusable {
+    // Half of the engines cold, traffic uneven: bound by an equal part each, a twentieth was refused beside
+    // idle engines.
+    Map<String, Object> f = play(new Plan(100, 30, 3, 14, 0.7, 0.8, 0, 100, 5), "release");
+    kept(f);
+    assertTrue(number(f, "refused_while_idle") < 0.025, f.toString());
+  }
+
+  @Test
+  void connectionsStayBounded() throws Script.Unusable {
+    // Each gateway keeps to twelve, but for those with much to send.
+    Map<String, Object> f = play(new Plan(100, 60, 3, 14, 0.6, 0.5, 0, 100, 5), "calm");
+    assertTrue(number(f, "connections_max") < 0.45 * 100 * 60, f.toString());
+  }
+
+  @Test
+  void plainPoliciesAreWorseInTrouble() throws Script.Unusable {
+    Plan plan = plan(60, 24, 0.7);
+    Map<String, Object> f = play(plan, "sick");
+    for (String name : new String[] {"random", "two", "reported"}) {
+      Map<String, Object> plain = new VirtualFleet(plan, Baseline.named(name)).play(Script.of("sick"));
+      assertTrue(number(plain, "service") < number(f, "service"), name + ": " + plain + " against " + f);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/reachloom/standin/model/RealTime.java
@@ -0,0 +1,49 @@
+package reachloom.standin.model;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Real time: one thread does what is due. Its clock is the system's at the start, kept from going back. */
+public final class RealTime implements Timeline, AutoCloseable {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+
+  private final long start = System.currentTimeMillis() * MILLISECOND;
+  private final long from = System.nanoTime();
+  private final ScheduledExecutorService thread;
+
+  /** Time whose thread has that name. */
+  public RealTime(String name) {
+    thread = Executors.newSingleThreadScheduledExecutor(r -> {
+      Thread t = new Thread(r, name);
+      t.setDaemon(true);
+      return t;
+    });
+  }
+
+  @Override
+  public long now() {
+    return start + System.nanoTime() - from;
+  }
+
+  @Override
+  public void at(long time, Runnable action) {
+    try {
+      thread.schedule(() -> {
+        try {
+          action.run();
+        } catch (RuntimeException e) {
+          e.printStackTrace(); // a defect of the stand-in: seen, and the rest goes on
+        }
+      }, time - now(), TimeUnit.NANOSECONDS);
+    } catch (RejectedExecutionException e) {
+      // closed: nothing is due any more
+    }
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
