--- a/lab/src/main/java/reachloom/lab/fleet/Director.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Director.java
@@ -125,7 +125,9 @@
         // From one zone, to another one; without a far zone, between the zone and all others, both ways.
         boolean meant = t.far() >= 0 ? g == t.zone() && e == t.far()
             : t.zone() < 0 || (g == t.zone()) != (e == t.zone());
-        if (meant) {
+        if (meant && t.kind() == Trouble.Kind.RESET) {
+          world.reset(g, e);
+        } else if (meant) {
           World.Link link = world.link(g, e);
           set(link, t, true);
           truth.impaired(g, e, true);
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -35,6 +35,8 @@
         .addOption(null, "skew", true, "exponent of Zipf's law over the gateways, in hundredths (80)")
         .addOption(null, "large", true, "share of engines with twice the cores (0)")
         .addOption(null, "believed", true, "how many gateways their settings name (as many as there are)")
+        .addOption(null, "clocks-apart-ms", true, "most that a gateway's clock is off, in simulated time (0)")
+        .addOption(null, "report-age-ms", true, "reports are older by so much (0)")
         .addOption(null, "script", true, "a file, or one of " + Script.NAMED + " (calm)")
         .addOption(null, "policy", true, "reachloom, or in simulated time random, two, "
             + "reported, fresh, oracle")
@@ -57,7 +59,9 @@
         Lab.number(line, "seconds", 20, 2, 600), Lab.number(line, "load", 70, 1, 300) / HUNDREDTHS,
         Lab.number(line, "skew", 80, 0, 300) / HUNDREDTHS, Lab.share(line, "large", 0),
         Lab.number(line, "believed", gateways, 1, 10_000),
-        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE));
+        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE),
+        Lab.number(line, "clocks-apart-ms", 0, 0, 3_600_000) * Plan.MILLISECOND,
+        Lab.number(line, "report-age-ms", 0, 0, 10_000) * Plan.MILLISECOND);
     Script script;
     try {
       script = Script.of(line.getOptionValue("script", "calm"));
--- a/lab/src/main/java/reachloom/lab/fleet/Hosts.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Hosts.java
@@ -83,6 +83,9 @@
     }
     world.onAdded(e -> attempt(() -> bind(e)));
     world.onEnd(this::end);
+    world.onReset((g, e) -> List.copyOf(conns).stream()
+        .filter(c -> c.zone == g
+            && world.plan.zoneOfEngine(c.engine.id) == e).forEach(c -> c.session.closeNow()));
     world.onReach(v -> attempt(() -> reach(v)));
   }
 
--- a/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
@@ -10,11 +10,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntFunction;
 import reachloom.lab.fleet.Workload.Arrival;
 import reachloom.standin.model.RealTime;
 
 /** The fleet as processes of the program, among engines, change logs and clients on loopback. */
-final class ProcessFleet implements Director.Gateways, AutoCloseable {
+public final class ProcessFleet implements Director.Gateways, AutoCloseable {
   private static final long FRONT_NOTICE = Plan.SECOND;
   private static final long SETTLE = Plan.SECOND;
   private static final long MEMORY_GAP = 2 * Plan.SECOND;
@@ -38,14 +39,20 @@
   private long latest;
 
   /** A fleet whose files go to that folder; {@code jar} null takes the program from the class path. */
-  ProcessFleet(Plan plan, Path folder, Path jar, int heapMb) throws IOException {
+  public ProcessFleet(Plan plan, Path folder, Path jar, int heapMb) throws IOException {
+    this(plan, folder, jar, heapMb, g -> List.of());
+  }
+
+  /** The same, each gateway with further words on its command line. */
+  public ProcessFleet(Plan plan, Path folder, Path jar, int heapMb, IntFunction<List<String>> words)
+      throws IOException {
     this.plan = plan;
     world = new World(plan, time);
     random = new SplittableRandom(plan.seed() * 13 + 11);
     up = new boolean[plan.gateways()];
     changedAt = new long[plan.gateways()];
     lives = new long[plan.gateways()];
-    processes = new Processes(folder, jar, plan.gateways(), heapMb, this::configuration);
+    processes = new Processes(folder, jar, plan.gateways(), heapMb, this::configuration, words);
   }
 
   /** What a gateway is told at its start: the list as its view has it now. */
@@ -84,7 +91,12 @@
   }
 
   /** Plays the script; gives the figures. */
-  Map<String, Object> play(Script script) throws IOException, InterruptedException {
+  public Map<String, Object> play(Script script) throws IOException, InterruptedException {
+    return play(script, () -> { });
+  }
+
+  /** Plays the script, and does that when the queries are over and the gateways still run. */
+  public Map<String, Object> play(Script script, Runnable atEnd) throws IOException, InterruptedException {
     AtomicReference<IOException> failed = new AtomicReference<>();
     onWorld(() -> {
       truth = new Truth(world, time.now());
@@ -119,6 +131,7 @@
       Thread.sleep(100);
     }
     Thread.sleep(500); // what is still on its way
+    atEnd.run();
     AtomicReference<Map<String, Object>> figures = new AtomicReference<>();
     onWorld(() -> {
       Map<String, Object> f = truth.figures(time.now(), start);
@@ -136,6 +149,13 @@
     return figures.get();
   }
 
+  /** What became of the queries that came from that second on, by class. */
+  public List<Truth.Row> rows(double fromSecond) {
+    AtomicReference<List<Truth.Row>> rows = new AtomicReference<>();
+    onWorld(() -> rows.set(truth.rows((long) (fromSecond * Plan.SECOND))));
+    return rows.get();
+  }
+
   private boolean settled(long end) {
     return time.now() > end + Plan.SECOND && truth.allAnswered();
   }
--- a/lab/src/main/java/reachloom/lab/fleet/Processes.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Processes.java
@@ -34,6 +34,7 @@
   private final Path jar;
   private final int heapMb;
   private final IntFunction<String> configuration;
+  private final IntFunction<List<String>> words;
   private final List<InetSocketAddress> addresses = new ArrayList<>();
   private final List<Process> running = new ArrayList<>();
   private final Set<Integer> ended = new HashSet<>();
@@ -43,13 +44,17 @@
   private Path archive;
   private volatile boolean closing;
 
-  /** Gateways whose logs and files go to that folder; a configuration is asked for at each start. */
-  Processes(Path folder, Path jar, int gateways, int heapMb, IntFunction<String> configuration)
-      throws IOException {
+  /**
+   * Gateways whose logs and files go to that folder; a configuration and further words for the command line
+   * are asked for at each start.
+   */
+  Processes(Path folder, Path jar, int gateways, int heapMb, IntFunction<String> configuration,
+      IntFunction<List<String>> words) throws IOException {
     this.folder = folder;
     this.jar = jar;
     this.heapMb = heapMb;
     this.configuration = configuration;
+    this.words = words;
     List<ServerSocket> taken = new ArrayList<>(); // all at once, so that no two are the same
     for (int g = 0; g < gateways; g++) {
       ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -72,10 +77,10 @@
   /** Keeps the classes that a start takes, as the deployment's build does: 200 starts are many. */
   void archive() throws IOException, InterruptedException {
     Path file = folder.resolve("classes.jsa");
-    List<String> words = command("-XX:ArchiveClassesAtExit=" + file, "-Xlog:cds=off",
+    List<String> command = command("-XX:ArchiveClassesAtExit=" + file, "-Xlog:cds=off",
         "-Xlog:cds+dynamic=off");
-    words.add("rehearse");
-    Process p = new ProcessBuilder(words).redirectErrorStream(true)
+    command.add("rehearse");
+    Process p = new ProcessBuilder(command).redirectErrorStream(true)
         .redirectOutput(folder.resolve("rehearse.log").toFile()).start();
     if (p.waitFor(READY_S, TimeUnit.SECONDS) && p.exitValue() == 0 && Files.exists(file)) {
       archive = file;
@@ -99,10 +104,11 @@
       return;
     }
     Path config = Files.writeString(folder.resolve("g" + gateway + ".json"), configuration.apply(gateway));
-    List<String> words = archive == null ? command()
+    List<String> command = archive == null ? command()
         : command("-XX:SharedArchiveFile=" + archive, "-Xlog:cds=off", "-Xlog:cds+dynamic=off");
-    words.add("serve");
-    ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
+    command.add("serve");
+    command.addAll(words.apply(gateway));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("g" + gateway + ".log").toFile()));
     builder.environment().keySet().removeIf(k -> k.startsWith("LB_") || k.startsWith("REACHLOOM_"));
     builder.environment().put("LB_CONFIG", config.toString());
--- a/lab/src/main/java/reachloom/lab/fleet/Script.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Script.java
@@ -19,7 +19,7 @@
 import org.xml.sax.SAXParseException;
 
 /** A script of troubles, in XML that {@code script.xsd} describes. */
-record Script(String name, List<Trouble> troubles) {
+public record Script(String name, List<Trouble> troubles) {
   /** Scripts that the program brings along. */
   static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
       "restart",
--- a/lab/src/main/java/reachloom/lab/fleet/Trouble.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Trouble.java
@@ -5,15 +5,16 @@
  * for -1, in all. What {@code by} says depends on the kind: times slower, share of errors, times the load,
  * milliseconds of delay. Times are in seconds.
  */
-record Trouble(double at, Who who, Kind kind, double share, int zone, int far, double by, double lasts,
+public record Trouble(double at, Who who, Kind kind, double share, int zone, int far, double by, double lasts,
     double within) {
   /** Whom it meets. */
-  enum Who { GATEWAYS, ENGINES, LINK, LIST, LOAD }
+  public enum Who { GATEWAYS, ENGINES, LINK, LIST, LOAD }
 
   /** What it does. */
-  enum Kind {
+  public enum Kind {
     KILL(Who.GATEWAYS), TERMINATE(Who.GATEWAYS), HALT(Who.GATEWAYS), HANG(Who.ENGINES), ERR(Who.ENGINES),
-    SLOW(Who.ENGINES), CRASH(Who.ENGINES), REPLACE(Who.ENGINES), DELAY(Who.LINK), CUT(Who.LINK),
+    SLOW(Who.ENGINES), CRASH(Who.ENGINES), REPLACE(Who.ENGINES), DELAY(Who.LINK), RESET(Who.LINK),
+        CUT(Who.LINK),
     CUT_OUT(Who.LINK), CUT_IN(Who.LINK), LATE(Who.LIST), STALE(Who.LIST), DOWN(Who.LIST), SURGE(Who.LOAD);
 
     final Who who;
--- a/lab/src/main/java/reachloom/lab/fleet/Truth.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Truth.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
 import reachloom.lab.fleet.Workload.Arrival;
 import reachloom.standin.model.EngineModel;
 
@@ -14,10 +15,11 @@
  * the gateways' decisions. All of it runs on the timeline's thread, in the order of time but for the
  * network's.
  */
-final class Truth {
+public final class Truth {
   /** Each time limit is so much longer, as the platform's protocol allows. */
   private static final long SLACK = 50 * Plan.MILLISECOND;
   private static final int MOST_TOLD = 20;
+  private static final long LONGEST_MICROS = 60_000_000;
 
   /** How a query ended for its client. */
   enum Answer { NONE, SERVED, REFUSED, FAILED }
@@ -73,6 +75,11 @@
     }
   }
 
+  /** What became of the queries of one class; times in milliseconds, of those served. */
+  public record Row(String kind, long asked, long inTime, long late, long refused, long failed, double p50,
+      double p99) {
+  }
+
   private record Span(long from, long to) {
   }
 
@@ -383,6 +390,24 @@
     return f;
   }
 
+  /** By class, for the queries that came so long after the first one could. */
+  List<Row> rows(long after) {
+    List<Row> rows = new ArrayList<>();
+    for (int k = 0; k < Workload.KINDS.size(); k++) {
+      int kind = k;
+      List<Query> of = queries.values().stream()
+          .filter(q -> q.arrival.kind() == kind && q.arrival.at() >= start + after).toList();
+      Histogram times = new Histogram(LONGEST_MICROS, 3);
+      of.stream().filter(q -> q.answer == Answer.SERVED).forEach(q -> times.recordValue(
+          Math.max(0, Math.min(LONGEST_MICROS, (q.answeredAt - q.arrival.at()) / 1_000))));
+      long inTime = of.stream().filter(Query::inAim).count();
+      rows.add(new Row(Workload.KINDS.get(k).name(), of.size(), inTime, count(of, Answer.SERVED) - inTime,
+          count(of, Answer.REFUSED), count(of, Answer.FAILED) + count(of, Answer.NONE),
+          times.getValueAtPercentile(50) / 1e3, times.getValueAtPercentile(99) / 1e3));
+    }
+    return rows;
+  }
+
   private static long count(List<Query> of, Answer answer) {
     return of.stream().filter(q -> q.answer == answer).count();
   }
--- a/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
@@ -67,6 +67,7 @@
     truth = new Truth(world, START);
     workload = new Workload(plan, START + SETTLE);
     director = new Director(world, this, workload, truth);
+    world.onReset(this::reset);
     random = new SplittableRandom(plan.seed() * 13 + 11);
     for (int g = 0; g < plan.gateways(); g++) {
       fronts.add(new Front(g));
@@ -140,6 +141,11 @@
     }
   }
 
+  /** All connections from one zone to the engines of another break at once. */
+  private void reset(int gatewayZone, int engineZone) {
+    fronts.stream().filter(f -> f.zone == gatewayZone).forEach(f -> f.reset(engineZone));
+  }
+
   private static final class Out {
     private final EngineModel engine;
     private final long sentAt;
@@ -173,6 +179,7 @@
     /** What came while it stood still: the list of engines goes first, as on sockets. */
     private final List<Runnable> waitingFirst = new ArrayList<>();
     private final List<Runnable> waiting = new ArrayList<>();
+    private final long clockOff;
     private Events module;
     private boolean up;
     private boolean halted;
@@ -183,11 +190,17 @@
     Front(int number) {
       this.number = number;
       zone = plan.zoneOf(number);
+      clockOff = (long) ((2 * random.nextDouble() - 1) * plan.clocksApart());
       settings = SettingsReader.read(Conditions.settings(plan, number));
       World.View view = world.views.get(zone);
       view.hear(e -> hear(view));
     }
 
+    /** What this gateway takes the time to be. */
+    private long clock() {
+      return time.now() + clockOff;
+    }
+
     // ---- Its life ----
 
     void start() {
@@ -196,13 +209,13 @@
       halted = false;
       changedAt = time.now();
       module = policy.make(this, world, number);
-      module.start(time.now(), random.nextLong(), settings);
+      module.start(clock(), random.nextLong(), settings);
       World.View view = world.views.get(zone);
       Map<Integer, World.Listed> known = new LinkedHashMap<>();
       view.log.forEach(e -> known.put(e.engine().id(), e.engine()));
       heardOf = view.log.size();
       listLines += known.size();
-      module.engines(time.now(), true, known.values().stream().filter(l -> l.state() != World.GONE)
+      module.engines(clock(), true, known.values().stream().filter(l -> l.state() != World.GONE)
           .map(this::info).toList());
     }
 
@@ -270,7 +283,7 @@
         heardOf = view.log.size();
         listLines += news.size();
         if (!news.isEmpty()) {
-          module.engines(time.now(), false, news);
+          module.engines(clock(), false, news);
         }
       }, (long) (random.nextDouble() * HEARD), waitingFirst);
     }
@@ -290,7 +303,7 @@
         settle(o, Truth.Answer.FAILED);
         return;
       }
-      module.arrive(time.now(), new Query(a.id(), a.kind(), 0, null, left, 0, 0, -1, false));
+      module.arrive(clock(), new Query(a.id(), a.kind(), 0, null, left, 0, 0, -1, false));
     }
 
     private void settle(Open o, Truth.Answer answer) {
@@ -378,7 +391,7 @@
         @Override
         public void progress(double share) {
           if (mine == life && !t.over) {
-            answer(link, way, () -> module.note(time.now(),
+            answer(link, way, () -> module.note(clock(),
                 new Note(a.id(), place, World.name(e.id), NoteKind.PROGRESS, share)));
           }
         }
@@ -416,11 +429,28 @@
       if (outcome == Outcome.SERVED && !o.over) {
         settle(o, Truth.Answer.SERVED);
       }
-      module.end(time.now(), new AttemptEnd(o.arrival.id(), place, World.name(t.engine.id), outcome,
+      module.end(clock(), new AttemptEnd(o.arrival.id(), place, World.name(t.engine.id), outcome,
           time.now() - t.sentAt, o.over, costMs, memoryMb, null));
       drop(o);
     }
 
+    private void reset(int engineZone) {
+      List.copyOf(links.keySet()).stream().filter(e -> plan.zoneOfEngine(e) == engineZone)
+          .forEach(this::disconnect);
+      for (Open o : List.copyOf(open.values())) {
+        for (int i = 0; i < o.tries.size(); i++) {
+          Out t = o.tries.get(i);
+          if (!t.over && plan.zoneOfEngine(t.engine.id) == engineZone) {
+            int place = i;
+            t.quit = true;
+            t.engine.quit(o.arrival.id());
+            truth.ended(t.seen, time.now());
+            tell(life, () -> finish(o, place, Outcome.RESET, 0, 0), NEAR);
+          }
+        }
+      }
+    }
+
     /** Gives an attempt up at its engine, as far as the way goes. */
     private void quit(Open o, Out t) {
       t.quit = true;
@@ -461,7 +491,7 @@
 
     @Override
     public void timer(long delay, long token) {
-      tell(life, () -> module.wake(time.now(), token), delay);
+      tell(life, () -> module.wake(clock(), token), delay);
     }
 
     @Override
@@ -473,12 +503,12 @@
       long way = way(link, engineZone);
       long arrives = connect(e.id, way) + way;
       if (!link.sound() && (link.cutIn || link.cutOut) || e.mood() == EngineModel.Mood.DOWN) {
-        tell(life, () -> module.probed(time.now(), engine, false, null), PROBE_TIMEOUT);
+        tell(life, () -> module.probed(clock(), engine, false, null), PROBE_TIMEOUT);
         return;
       }
       tell(life, () -> {
         EngineModel.Load l = e.load();
-        tell(life, () -> module.probed(time.now(), engine, true,
+        tell(life, () -> module.probed(clock(), engine, true,
             new Report(l.util(), l.queue(), l.memory(), 0)), way);
       }, arrives);
     }
--- a/lab/src/main/java/reachloom/lab/fleet/World.java
+++ b/lab/src/main/java/reachloom/lab/fleet/World.java
@@ -109,6 +109,11 @@
     }
   }
 
+  /** Hears that all connections from the gateways of one zone to the engines of another break. */
+  interface Broken {
+    void accept(int gatewayZone, int engineZone);
+  }
+
   /** Hears what each view is told. */
   interface Told {
     void accept(View view, Event event);
@@ -124,6 +129,7 @@
   private int last;
   private long events;
   private Told told = (v, e) -> { };
+  private Broken reset = (g, e) -> { };
   private Consumer<View> reach = v -> { };
   private Consumer<EngineModel> added = e -> { };
   private Consumer<EngineModel> fell = e -> { };
@@ -150,6 +156,15 @@
     told = hearer;
   }
 
+  void onReset(Broken hearer) {
+    reset = hearer;
+  }
+
+  /** Breaks all connections from the gateways of one zone to the engines of another. */
+  void reset(int gatewayZone, int engineZone) {
+    reset.accept(gatewayZone, engineZone);
+  }
+
   void onReach(Consumer<View> hearer) {
     reach = hearer;
   }
--- a/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
@@ -12,16 +12,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.atomic.AtomicLong;
-import org.HdrHistogram.ConcurrentHistogram;
-import org.HdrHistogram.Histogram;
 import reachloom.gossip.Packet;
 import reachloom.gossip.wire.GossipCodec;
+import reachloom.lab.fleet.ProcessFleet;
+import reachloom.lab.fleet.Script;
+import reachloom.lab.fleet.Trouble;
+import reachloom.lab.fleet.Truth;
 import reachloom.membership.Message;
-import reachloom.standin.ChangeLogStandIn;
-import reachloom.standin.GatewayProcess;
-import reachloom.standin.NodeStandIn;
-import reachloom.standin.ThriftClient;
 
 /**
  * Gossip among real gateways, each a process of its own on loopback, with engine stand-ins and real queries;
@@ -30,11 +27,8 @@
 final class SocketRun {
   private static final long PERIOD = 500_000_000; // nanoseconds
   private static final int CAP = 4_096;
-  private static final int CLIENTS = 4; // of each gateway
-  private static final double PAUSE_MS = 60;
-  private static final double ENGINE_MS = 15;
-  private static final long AIM_MICROS = 500_000;
-  private static final long LONGEST_MICROS = 10_000_000;
+  private static final double LOAD = 0.3; // of all cores: most is lost to the sick, little to queues
+  private static final int HEAP_MB = 64;
   private static final int SETTLE_MS = 5_000;
   private static final int JUNK_KINDS = 3;
 
@@ -42,17 +36,9 @@
   record Plan(int instances, int engines, int sick, int junk, int seconds, long seed) {
   }
 
-  private final class Tally {
-    private final AtomicLong asked = new AtomicLong();
-    private final AtomicLong inTime = new AtomicLong();
-    private final AtomicLong lost = new AtomicLong();
-    private final Histogram times = new ConcurrentHistogram(LONGEST_MICROS, 3);
-  }
-
   private final Plan plan;
   private final Path folder;
   private volatile boolean over;
-  private volatile boolean sick;
 
   SocketRun(Plan plan, Path folder) {
     this.plan = plan;
@@ -61,122 +47,69 @@
 
   Map<String, Object> play() throws Exception {
     Map<String, Object> figures = new LinkedHashMap<>();
-    Tally with = run(true, plan.junk, figures);
-    Tally alone = run(false, 0, figures);
-    figures.put("asked", with.asked.get());
-    figures.put("service", share(with));
-    figures.put("service_alone", share(alone));
-    figures.put("lost_to_sick", with.lost.get());
-    figures.put("lost_to_sick_alone", alone.lost.get());
-    figures.put("p99_ms", with.times.getValueAtPercentile(99) / 1e3);
+    Map<String, Object> seen = new LinkedHashMap<>();
+    tell(figures, "", run(true, plan.junk, seen));
+    tell(figures, "_alone", run(false, 0, new LinkedHashMap<>()));
     if (plan.junk > 0) {
-      Tally quiet = run(true, 0, new LinkedHashMap<>());
-      figures.put("p99_ms_without_junk", quiet.times.getValueAtPercentile(99) / 1e3);
-      figures.put("service_without_junk", share(quiet));
+      tell(figures, "_without_junk", run(true, 0, new LinkedHashMap<>()));
     }
+    figures.putAll(seen);
     return figures;
   }
 
-  private static double share(Tally t) {
-    return Math.round(1e4 * t.inTime.get() / Math.max(1, t.asked.get())) / 1e4;
+  private static void tell(Map<String, Object> figures, String suffix, Told told) {
+    long asked = told.all.stream().mapToLong(Truth.Row::asked).sum();
+    long inTime = told.all.stream().mapToLong(Truth.Row::inTime).sum();
+    figures.put("asked" + suffix, asked);
+    figures.put("service" + suffix, Math.round(1e4 * inTime / Math.max(1, asked)) / 1e4);
+    // Engines that are well answer nearly all in time: what is late has met one that is not.
+    figures.put("lost_to_sick" + suffix, told.sick.stream().mapToLong(r -> r.asked() - r.inTime()).sum());
+    figures.put("p99_ms" + suffix, told.all.get(0).p99());
+    figures.put("rules_broken" + suffix, told.broken);
+  }
+
+  /** What became of all queries, and of those that came once some engines hung. */
+  private record Told(List<Truth.Row> all, List<Truth.Row> sick, Object broken) {
   }
 
-  private Tally run(boolean gossip, int junk, Map<String, Object> figures) throws Exception {
+  private Told run(boolean gossip, int junk, Map<String, Object> seen) throws Exception {
     over = false;
-    sick = false;
     Path here = Files.createTempDirectory(folder, gossip ? "with" : "alone");
     Installation installation = new Installation(here);
     installation.instance("operator", "ca", 30);
     List<InetSocketAddress> ports = new ArrayList<>();
+    List<Path> settings = new ArrayList<>();
     for (int i = 0; i < plan.instances; i++) {
       ports.add(Installation.freeAddress());
     }
-    List<NodeStandIn> engines = new ArrayList<>();
-    List<GatewayProcess> gateways = new ArrayList<>();
-    Tally tally = new Tally();
-    try (ChangeLogStandIn changeLog = new ChangeLogStandIn(1)) {
-      for (int i = 0; i < plan.engines; i++) {
-        NodeStandIn e = new NodeStandIn();
-        e.takes(ENGINE_MS);
-        engines.add(e);
-      }
-      for (int i = 0; i < plan.instances; i++) {
-        String name = "g" + i;
-        installation.instance(name, "ca", 30);
-        Path settings = installation.file(installation.settings(name, ports.get(i), PERIOD, CAP,
-            i == 0 ? List.of() : ports.subList(0, 1), "ca"), name);
-        Path own = Files.createDirectory(here.resolve(name));
-        String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog,
-            engines.toArray(NodeStandIn[]::new)).replace("\"selfIndex\":0", "\"selfIndex\":" + i);
-        gateways.add(new GatewayProcess(own, text, gossip ? List.of("--settings", settings.toString())
-                : List.of()));
-      }
-      for (GatewayProcess g : gateways) {
-        g.ready().close();
-      }
-      Thread.sleep(SETTLE_MS);
-      List<Thread> clients = clients(gateways, tally);
-      Thread flood = junk > 0 ? flood(ports.get(0), junk) : null;
-      Thread.sleep(plan.seconds * 250L);
-      engines.subList(0, plan.sick).forEach(e -> e.hang(true));
-      sick = plan.sick > 0;
-      Thread.sleep(plan.seconds * 750L);
-      if (gossip) {
-        status(installation, ports, figures);
-      }
+    for (int i = 0; i < plan.instances; i++) {
+      String name = "g" + i;
+      installation.instance(name, "ca", 30);
+      settings.add(installation.file(installation.settings(name, ports.get(i), PERIOD, CAP,
+          i == 0 ? List.of() : ports.subList(0, 1), "ca"), name));
+    }
+    double quarter = SETTLE_MS / 1e3 + plan.seconds * 0.25;
+    double all = SETTLE_MS / 1e3 + plan.seconds;
+    reachloom.lab.fleet.Plan fleetPlan = new reachloom.lab.fleet.Plan(plan.instances, plan.engines, 1,
+        (int) all,
+        LOAD, 0, 0, plan.instances, plan.seed);
+    Trouble hang = new Trouble(quarter, Trouble.Who.ENGINES, Trouble.Kind.HANG,
+        (double) plan.sick / plan.engines, -1, -1, 1, all, 0);
+    Thread flood = null;
+    try (ProcessFleet fleet = new ProcessFleet(fleetPlan, here, null, HEAP_MB,
+        g -> gossip ? List.of("--settings", settings.get(g).toString()) : List.of())) {
+      flood = junk > 0 ? flood(ports.get(0), junk) : null;
+      Object broken = fleet.play(new Script("sick", plan.sick == 0 ? List.of() : List.of(hang)), () -> {
+        if (gossip) {
+          status(installation, ports, seen);
+        }
+      }).get("rules_broken");
+      return new Told(fleet.rows(SETTLE_MS / 1e3), fleet.rows(quarter), broken);
+    } finally {
       over = true;
-      for (Thread t : clients) {
-        t.join(LONGEST_MICROS / 1_000);
-      }
       if (flood != null) {
         flood.join();
       }
-    } finally {
-      over = true;
-      for (GatewayProcess g : gateways) {
-        g.close();
-      }
-      for (NodeStandIn e : engines) {
-        e.close();
-      }
-    }
-    return tally;
-  }
-
-  private List<Thread> clients(List<GatewayProcess> gateways, Tally tally) {
-    List<Thread> clients = new ArrayList<>();
-    for (int g = 0; g < gateways.size(); g++) {
-      for (int k = 0; k < CLIENTS; k++) {
-        GatewayProcess gateway = gateways.get(g);
-        long number = g * CLIENTS + k;
-        Thread t = new Thread(() -> ask(gateway, number, tally), "client " + number);
-        t.start();
-        clients.add(t);
-      }
-    }
-    return clients;
-  }
-
-  private void ask(GatewayProcess gateway, long number, Tally tally) {
-    SplittableRandom random = new SplittableRandom(plan.seed * 1_000 + number);
-    try (ThriftClient client = new ThriftClient(gateway.listen)) {
-      for (int i = 0; !over; i++) {
-        Thread.sleep(Math.round(-PAUSE_MS * Math.log(1 - random.nextDouble())));
-        tally.asked.incrementAndGet();
-        long from = System.nanoTime();
-        String id = String.format("%08x%08x", number, i);
-        String kind = client.run("select 1 from sales_1.a", "txn", id).kind();
-        long micros = Math.min(LONGEST_MICROS, (System.nanoTime() - from) / 1_000);
-        boolean inTime = kind.equals("ANSWER") && micros <= AIM_MICROS;
-        // Engines that are well answer within six means: what takes longer has met one that is not.
-        tally.inTime.addAndGet(inTime ? 1 : 0);
-        tally.lost.addAndGet(!inTime && sick ? 1 : 0);
-        tally.times.recordValue(micros);
-      }
-    } catch (IOException e) {
-      System.err.println("a client lost its connection: " + e.getMessage());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
@@ -218,9 +151,9 @@
   }
 
   /** What the first gateway tells an operator: refusals, members, and what it sent. */
-  private void status(Installation installation, List<InetSocketAddress> ports, Map<String, Object> figures)
-      throws IOException {
-    String text = Installation.tool("status", "--address", "127.0.0.1:" + ports.get(0).getPort(), "--cluster",
+  private void status(Installation installation, List<InetSocketAddress> ports,
+      Map<String, Object> figures) {
+    String text = ask("status", "--address", "127.0.0.1:" + ports.get(0).getPort(), "--cluster",
         Installation.CLUSTER, "--key", installation.path("operator.key").toString(), "--certificate",
         installation.path("operator.crt").toString(), "--authority", installation.path("ca.crt").toString());
     figures.putIfAbsent("members_seen", text.lines().filter(l -> l.startsWith("member ")
@@ -230,4 +163,12 @@
     figures.putIfAbsent("accepted_forged", text.lines().filter(l -> l.startsWith("member nobody")).count());
     figures.putIfAbsent("bytes", text.lines().filter(l -> l.startsWith("bytes ")).findFirst().orElse(""));
   }
+
+  private static String ask(String... words) {
+    try {
+      return Installation.tool(words);
+    } catch (IOException e) {
+      return "refused " + e.getMessage();
+    }
+  }
 }
--- a/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
@@ -82,6 +82,18 @@
     assertTrue(number(f, "refused_while_idle") < 0.025, f.toString());
   }
 
+  @ParameterizedTest
+  @CsvSource({"500, 0", "0, 1000", "500, 1000"})
+  void clocksApartAndReportsASecondOld(int clocksMs, int ageMs) throws Script.Unusable {
+    Plan plan = new Plan(60, 24, 3, 14, 0.6, 0.8, 0, 60, 5, clocksMs * Plan.MILLISECOND,
+        ageMs * Plan.MILLISECOND);
+    for (String script : new String[] {"release", "zone"}) {
+      Map<String, Object> f = play(plan, script);
+      kept(f);
+      assertTrue(number(f, "service") > 0.93, f.toString());
+    }
+  }
+
   @Test
   void connectionsStayBounded() throws Script.Unusable {
     // Each gateway keeps to eight, but for those with much to send.
