Fleet scripts: engines that hold few connections

Need: engines hold few connections on the platform; the rig could not say so.

Change: engines do="crowd": a drawn share of them closes connections beyond a number for so long, in both modes; a script that ships plays it.

--- a/lab/src/main/java/reachloom/lab/fleet/Director.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Director.java
@@ -114,6 +114,7 @@
       case HANG -> world.upset(some, Mood.HANGS, 0, t.length());
       case ERR -> world.upset(some, Mood.ERRS, t.by(), t.length());
       case SLOW -> world.slow(some, t.by(), t.length());
+      case CROWD -> world.crowd(some, (int) t.by(), t.length());
       case CRASH -> world.crash(some, t.length());
       default -> world.replace(some, t.spread());
     }
--- a/lab/src/main/java/reachloom/lab/fleet/Hosts.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Hosts.java
@@ -218,6 +218,11 @@
       Conn c = new Conn(session, e, (address.getAddress().getAddress()[1] & 0xff) - FIRST_OCTET);
       session.setAttribute(OF, c);
       world.time.at(0, () -> {
+        long there = conns.stream().filter(o -> o.engine == c.engine).count();
+        if (there >= world.mostConnections(c.engine.id)) {
+          session.closeNow();
+          return;
+        }
         conns.add(c);
         accepted++;
         most = Math.max(most, conns.size());
--- a/lab/src/main/java/reachloom/lab/fleet/Script.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Script.java
@@ -23,7 +23,7 @@
   /** Scripts that the program brings along. */
   static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
       "restart",
-      "stall", "list", "cut", "surge");
+      "stall", "list", "cut", "surge", "crowd");
   static final Script NONE = new Script("none", List.of());
 
   /** A script that can't be used: the text names the line, and what is wrong there. */
--- a/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
@@ -39,6 +39,8 @@
   /** Time-outs come so long before the deadline, or a part of its time, as on sockets. */
   private static final long AHEAD = 80 * Plan.MILLISECOND;
   private static final int AHEAD_PART = 10;
+  /** A connection that the engine closes at once. */
+  private static final long CLOSED = -1;
 
   /** Makes the decisions of a gateway. */
   interface Policy {
@@ -54,6 +56,7 @@
   private final Director director;
   private final List<Front> fronts = new ArrayList<>();
   private final SplittableRandom random;
+  private final Map<Integer, Integer> held = new HashMap<>();
   private long connections;
   private long connectionsMost;
   private long handshakes;
@@ -240,8 +243,7 @@
         open.clear();
         waitingFirst.clear();
         waiting.clear();
-        connections -= links.size();
-        links.clear();
+        List.copyOf(links.keySet()).forEach(this::disconnect);
       });
     }
 
@@ -326,18 +328,25 @@
 
     /** Books the connection; gives how long it takes until it is up. */
     private long connect(int engine, long way) {
+      if (!links.containsKey(engine) && held.getOrDefault(engine, 0) >= world.mostConnections(engine)) {
+        handshakes++;
+        return CLOSED;
+      }
       Long last = links.put(engine, time.now());
       if (last != null && time.now() - last < Conditions.KEEPALIVE) {
         return 0;
       }
       handshakes++;
       connections += last == null ? 1 : 0;
+      held.merge(engine, last == null ? 1 : 0, Integer::sum);
       connectionsMost = Math.max(connectionsMost, connections);
       return 2 * way;
     }
 
     private void disconnect(int engine) {
-      connections -= links.remove(engine) == null ? 0 : 1;
+      boolean there = links.remove(engine) != null;
+      connections -= there ? 1 : 0;
+      held.merge(engine, there ? -1 : 0, Integer::sum);
     }
 
     @Override
@@ -354,7 +363,12 @@
       int engineZone = plan.zoneOfEngine(e.id);
       World.Link link = world.link(zone, engineZone);
       long way = way(link, engineZone);
-      long arrives = connect(e.id, way) + way;
+      long up = connect(e.id, way);
+      if (up == CLOSED) {
+        tell(life, () -> finish(o, place, Outcome.RESET, 0, 0), 2 * way);
+        return;
+      }
+      long arrives = up + way;
       int mine = life;
       if (link.cutOut || link.cutIn && arrives > way) {
         return; // silence: it is found by its missing signs
@@ -501,8 +515,9 @@
       int engineZone = plan.zoneOfEngine(e.id);
       World.Link link = world.link(zone, engineZone);
       long way = way(link, engineZone);
-      long arrives = connect(e.id, way) + way;
-      if (!link.sound() && (link.cutIn || link.cutOut) || e.mood() == EngineModel.Mood.DOWN) {
+      long up = connect(e.id, way);
+      long arrives = up + way;
+      if (up == CLOSED || !link.sound() && (link.cutIn || link.cutOut) || e.mood() == EngineModel.Mood.DOWN) {
         tell(life, () -> module.probed(clock(), engine, false, null), PROBE_TIMEOUT);
         return;
       }
--- a/lab/src/main/java/reachloom/lab/fleet/World.java
+++ b/lab/src/main/java/reachloom/lab/fleet/World.java
@@ -124,6 +124,7 @@
   final Map<Integer, EngineModel> engines = new LinkedHashMap<>();
   final Map<Integer, Listed> list = new LinkedHashMap<>();
   final List<View> views = new ArrayList<>();
+  private final Map<Integer, Integer> mostConnections = new LinkedHashMap<>();
   private final Link[][] links;
   private final SplittableRandom random;
   private int last;
@@ -251,6 +252,17 @@
     time.at(time.now() + lasts, () -> of.stream().filter(still).forEach(e -> e.mood(Mood.WELL, 0)));
   }
 
+  /** They hold at most so many connections for so long; further ones are closed as soon as they are up. */
+  void crowd(List<EngineModel> of, int most, long lasts) {
+    of.forEach(e -> mostConnections.put(e.id, most));
+    time.at(time.now() + lasts, () -> of.forEach(e -> mostConnections.remove(e.id)));
+  }
+
+  /** How many connections an engine holds at most now. */
+  int mostConnections(int engine) {
+    return mostConnections.getOrDefault(engine, Integer.MAX_VALUE);
+  }
+
   /** They are so many times slower for so long. */
   void slow(List<EngineModel> of, double times, long lasts) {
     of.forEach(e -> e.slow(times));
--- a/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
@@ -47,7 +47,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"calm", "kill", "release", "zone", "sick", "idle-report", "restart", "stall",
       "list",
-      "cut", "surge"})
+      "cut", "surge", "crowd"})
   void rulesAreKeptAndServiceStandsInEachTrouble(String script) throws Script.Unusable {
     Map<String, Object> f = play(plan(60, 24, 0.6), script);
     kept(f);
