--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -60,7 +60,7 @@
   private static final double SILENT_NOTES = 2.5; // note periods without a sign of an engine: silence
   private static final double CLOCK_SHARE = 2; // engines for each query taken lately that a clock may probe
   private static final double PROBE_SHARE = 2; // probes for each query taken, at most: each costs
-  private static final double PROBE_POINTS = 0.03; // ... and no more than so much of all worth in all
+  private static final double PROBE_POINTS = 0.05; // ... and no more than so much of all worth in all
   private static final long ASK_WAIT = 20 * MILLISECOND; // for the reports of two drawn engines
   private static final long PROBE_GAP = 500 * MILLISECOND; // between probes of one engine
   private static final long CALM_GAP = 2_000 * MILLISECOND; // ... while the pool is calm: each costs
