No engine that is well is left unused: the figure, and the tests that hold it under 3 s

Need: the tests asked that no engine idles while all others are over 0.8, at a load of 0.6, where that hardly comes about: a check that could not fail.

Change: unused_longest_s, the longest that an engine that is well, cold ones too, is sent nothing while others are; the tests of all scripts hold it under 3 s.

--- a/lab/src/main/java/reachloom/lab/fleet/Spread.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Spread.java
@@ -24,6 +24,7 @@
     private int sent;
     private int before;
     private int idleWindows;
+    private int unusedWindows;
     private double second;
     private int windows;
   }
@@ -37,6 +38,7 @@
   private long idle;
   private long watched;
   private int longestIdle;
+  private int longestUnused;
   private int refused;
   private int windows;
 
@@ -108,6 +110,7 @@
       imbalance.add(Arrays.stream(used).max().orElse(0) / mean);
     }
     use.add(mean);
+    lookForUnused();
     seen.values().forEach(s -> s.before = s.sent);
     refused = 0;
     if (windows % PER_SECOND == 0) {
@@ -115,6 +118,17 @@
     }
   }
 
+  /** Engines that are well, cold ones too, and are sent nothing while others are. */
+  private void lookForUnused() {
+    boolean somebody = seen.values().stream().anyMatch(s -> s.sent > s.before);
+    for (EngineModel e : world.engines.values()) {
+      Seen s = of(e);
+      boolean unused = e.mood() == Mood.WELL && listed(e) && s.sent == s.before && somebody;
+      s.unusedWindows = unused ? s.unusedWindows + 1 : 0;
+      longestUnused = Math.max(longestUnused, s.unusedWindows);
+    }
+  }
+
   private Seen of(EngineModel e) {
     return seen.computeIfAbsent(e.id, k -> new Seen());
   }
@@ -142,6 +156,7 @@
     f.put("herds", herds);
     f.put("idle_share", Truth.share(idle, watched));
     f.put("idle_longest_s", longestIdle / (double) PER_SECOND);
+    f.put("unused_longest_s", longestUnused / (double) PER_SECOND);
     return f;
   }
 
--- a/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
@@ -54,7 +54,8 @@
     boolean gatewaysDie = script.equals("kill") || script.equals("restart");
     assertTrue(number(f, "service") > (gatewaysDie ? 0.88 : 0.95), f.toString());
     assertEquals(0, number(f, "herds"), f.toString());
-    assertTrue(number(f, "idle_longest_s") <= 2, f.toString());
+    // Whatever it was that an engine was left for, it is found again.
+    assertTrue(number(f, "unused_longest_s") <= 3, f.toString());
   }
 
   @ParameterizedTest
