The rig counts its own defects, and the auditor keeps halts and cuts apart

Need: an exception in the laboratory's own thread was printed and nothing more: a run could pass with half of its troubles not played. The auditor told open halts from open cuts by an offset in their key.

Change: rig_defects, 0 in the tests; a map each.

--- a/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
@@ -141,6 +141,7 @@
       f.put("gateways_ready", ready);
       f.put("ready_s", Math.round(started / 1e8) / 10.0);
       f.put("crashed", processes.crashed().size());
+      f.put("rig_defects", time.defects());
       f.put("rss_mb_max", Math.round(memoryMost * 10) / 10.0);
       f.put("rss_mb_all", Math.round(memoryAll));
       f.put("clients_late_ms", latest / Plan.MILLISECOND);
--- a/lab/src/main/java/reachloom/lab/fleet/Truth.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Truth.java
@@ -34,7 +34,7 @@
     final long sentAt;
     final boolean ran;
     /** Its end, or its being given up; the largest time while neither is known. */
-    long endAt = Long.MAX_VALUE;
+    long endAt;
 
     Try(Query query, int engine, int gateway, long at, long sentAt, boolean ran) {
       this.query = query;
@@ -93,7 +93,8 @@
   private final List<Arrival> unplaced = new ArrayList<>();
   private final Map<Place, List<Span>> halts = new HashMap<>();
   private final Map<Place, List<Span>> cuts = new HashMap<>();
-  private final Map<Place, Long> open = new HashMap<>();
+  private final Map<Place, Long> haltedNow = new HashMap<>();
+  private final Map<Place, Long> cutNow = new HashMap<>();
   private final Map<Place, Long> drainTold = new HashMap<>();
   private final Map<Place, Long> startTold = new HashMap<>();
   private final Map<Integer, ArrayDeque<Try>> lately = new HashMap<>();
@@ -184,20 +185,19 @@
 
   /** A gateway stands still from now on, or goes on. */
   void halted(int gateway, boolean now) {
-    span(halts, new Place(gateway, -1), now);
+    span(halts, haltedNow, new Place(gateway, -1), now);
   }
 
   /** The way between two zones is bad from now on, or is well. */
   void impaired(int from, int to, boolean now) {
-    span(cuts, new Place(from, to), now);
+    span(cuts, cutNow, new Place(from, to), now);
   }
 
-  private void span(Map<Place, List<Span>> to, Place place, boolean now) {
-    Place key = new Place(place.a, place.b + (to == cuts ? 0 : Integer.MIN_VALUE / 2));
+  private void span(Map<Place, List<Span>> to, Map<Place, Long> open, Place place, boolean now) {
     if (now) {
-      open.putIfAbsent(key, world.time.now());
-    } else if (open.containsKey(key)) {
-      to.computeIfAbsent(place, p -> new ArrayList<>()).add(new Span(open.remove(key), world.time.now()));
+      open.putIfAbsent(place, world.time.now());
+    } else if (open.containsKey(place)) {
+      to.computeIfAbsent(place, p -> new ArrayList<>()).add(new Span(open.remove(place), world.time.now()));
     }
   }
 
@@ -282,12 +282,12 @@
 
   private boolean impairedSince(Try t) {
     Place place = new Place(plan.zoneOf(t.gateway), plan.zoneOfEngine(t.engine));
-    return open.containsKey(place) || halted(t.gateway, t.at, Long.MAX_VALUE)
+    return cutNow.containsKey(place) || halted(t.gateway, t.at, Long.MAX_VALUE)
         || cuts.getOrDefault(place, List.of()).stream().anyMatch(s -> s.to > t.at);
   }
 
   private boolean halted(int gateway, long from, long to) {
-    return open.containsKey(new Place(gateway, -1 + Integer.MIN_VALUE / 2))
+    return haltedNow.containsKey(new Place(gateway, -1))
         || halts.getOrDefault(new Place(gateway, -1), List.of()).stream()
             .anyMatch(s -> s.from < to && s.to > from);
   }
--- a/lab/src/test/java/reachloom/lab/fleet/ProcessFleetTest.java
+++ b/lab/src/test/java/reachloom/lab/fleet/ProcessFleetTest.java
@@ -29,6 +29,7 @@
     }
     assertEquals(plan.gateways(), f.get("gateways_ready"), f.toString());
     assertEquals(0, f.get("crashed"), f.toString());
+    assertEquals(0, f.get("rig_defects"), f.toString());
     assertEquals(0, f.get("rules_broken"), f.toString());
     assertEquals(0, f.get("unanswered"), f.toString());
     assertEquals(0, f.get("fell_over"), f.toString());
--- a/standin/src/main/java/reachloom/standin/model/RealTime.java
+++ b/standin/src/main/java/reachloom/standin/model/RealTime.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Real time: one thread does what is due. Its clock is the system's at the start, kept from going back. */
 public final class RealTime implements Timeline, AutoCloseable {
@@ -12,6 +13,7 @@
   private final long start = System.currentTimeMillis() * MILLISECOND;
   private final long from = System.nanoTime();
   private final ScheduledExecutorService thread;
+  private final AtomicInteger defects = new AtomicInteger();
 
   /** Time whose thread has that name. */
   public RealTime(String name) {
@@ -34,7 +36,8 @@
         try {
           action.run();
         } catch (RuntimeException e) {
-          e.printStackTrace(); // a defect of the stand-in: seen, and the rest goes on
+          defects.incrementAndGet();
+          e.printStackTrace(); // a defect of the stand-in: counted, and the rest goes on
         }
       }, time - now(), TimeUnit.NANOSECONDS);
     } catch (RejectedExecutionException e) {
@@ -42,6 +45,11 @@
     }
   }
 
+  /** How many actions have failed by an exception: defects of whoever planned them. */
+  public int defects() {
+    return defects.get();
+  }
+
   @Override
   public void close() {
     thread.shutdownNow();
