The laboratory's commands print and write their figures in one place

Need: fleet and gossip each printed their figures and wrote the same JSON around them.

Change: Lab.tell does both; behaviour stays.

Measured: both commands' JSON has the keys of before; the whole verify is green (2 min 31 s).

--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -1,6 +1,10 @@
 package reachloom.lab;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -112,4 +116,17 @@
     }
     throw new ParseException("--" + option + ": '" + text + "' is not a share from 0 to 1");
   }
+
+  /** Prints the figures, and writes them with what led to them as JSON where the option asks for it. */
+  public static int tell(CommandLine line, Map<String, Object> origin, Map<String, Object> figures)
+      throws IOException {
+    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
+    if (line.hasOption("json")) {
+      Map<String, Object> whole = new LinkedHashMap<>(origin);
+      whole.put("figures", figures);
+      Files.writeString(Path.of(line.getOptionValue("json")),
+          new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
+    }
+    return 0;
+  }
 }
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -1,7 +1,5 @@
 package reachloom.lab.fleet;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -80,11 +78,12 @@
     } else {
       figures = sockets(line, plan, script);
     }
-    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
-    if (line.hasOption("json")) {
-      write(Path.of(line.getOptionValue("json")), mode, policy, script, plan, figures);
-    }
-    return 0;
+    Map<String, Object> origin = new LinkedHashMap<>();
+    origin.put("mode", mode);
+    origin.put("policy", policy);
+    origin.put("script", script.name());
+    origin.put("plan", plan);
+    return Lab.tell(line, origin, figures);
   }
 
   private static Map<String, Object> sockets(CommandLine line, Plan plan, Script script) throws Exception {
@@ -118,16 +117,4 @@
     Path built = own.getParent().resolve("../../gateway/target/reachloom.jar").normalize();
     return own.toString().endsWith(".jar") && Files.isReadable(built) ? built : null;
   }
-
-  private static void write(Path file, String mode, String policy, Script script, Plan plan,
-      Map<String, Object> figures) throws IOException {
-    Map<String, Object> whole = new LinkedHashMap<>();
-    whole.put("mode", mode);
-    whole.put("policy", policy);
-    whole.put("script", script.name());
-    whole.put("plan", plan);
-    whole.put("figures", figures);
-    Files.writeString(file,
-        new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
-  }
 }
--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -1,6 +1,5 @@
 package reachloom.lab.gossip;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -93,15 +92,9 @@
 
   private static int tell(CommandLine line, String mode, Object plan, Map<String, Object> figures)
       throws IOException {
-    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
-    if (line.hasOption("json")) {
-      Map<String, Object> whole = new LinkedHashMap<>();
-      whole.put("mode", mode);
-      whole.put("plan", plan);
-      whole.put("figures", figures);
-      Files.writeString(Path.of(line.getOptionValue("json")),
-          new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
-    }
-    return 0;
+    Map<String, Object> origin = new LinkedHashMap<>();
+    origin.put("mode", mode);
+    origin.put("plan", plan);
+    return Lab.tell(line, origin, figures);
   }
 }
