--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -70,9 +70,8 @@
   private static final double RESEND_GAIN = 2; // a new attempt must be so much faster than what remains
 
   // Guards.
-  private static final double COLD_MARGIN = 0.7; // of the cold budget: speeds and skew are not known
-  private static final double COLD_PACE = 0.5; // of that budget is sent by turns, which may fall together
-  private static final double COLD_SMALL = 0.1; // ... in one query: few can fall together
+  private static final int COLD_SLOTS = 2; // in the rule's time; a query too large for one goes to none
+  private static final double COLD_MARGIN = 0.65; // of the budget: a window touches one slot more
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final int KEEP = 8; // engines that a gateway keeps to: two draws find room, some at rest
@@ -86,6 +85,8 @@
   private final Actions actions;
   private Settings settings;
   private SplittableRandom random;
+  private long startedAt;
+  private int self;
   private long lastTick;
   private long stalledUntil;
   private long taken;
@@ -118,9 +119,11 @@
   public void start(long now, long seed, Settings s) {
     settings = s;
     share = new Share(s.gateways());
-    subset = new Subset(s.self());
-    fleet = s.gateways();
+    startedAt = now;
     random = new SplittableRandom(seed);
+    self = s.self() >= 0 ? s.self() : random.nextInt(s.gateways()); // where it is not told, by chance
+    subset = new Subset(self);
+    fleet = s.gateways();
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
     widest = s.classes().stream().mapToInt(QueryClass::threads).max().orElse(1);
@@ -168,9 +171,6 @@
     e.bound = mostThreads(e);
     e.lastSign = now;
     e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
-    e.coldFrom = now;
-    e.coldPhase = random.nextDouble();
-    e.coldWork = new SlidingSum(settings.rules().fallTime());
     return e;
   }
 
@@ -374,25 +374,39 @@
         && (now >= e.coldUntil || coldAllowed(now, q, e));
   }
 
-  /** A share too small for a query sends one in its turn: when the shares of all gateways hold one each. */
+  /**
+   * The time since an engine's start is cut into slots, which gateways own in turn, each by its own number:
+   * a slot's work is its owner's alone to send, and lapses unused. So all of them together keep the budget,
+   * whatever their traffic and without talking. One that started within a slot may have used it before.
+   */
   private boolean coldAllowed(long now, QueryRecord q, Engine e) {
-    double own = coldBudget(now, e);
-    return coldCost(q) <= own ? e.coldWork.sum(now) + coldCost(q) <= own
-        : coldCost(q) <= own * settings.gateways() * COLD_SMALL
-            && now >= e.coldFrom + e.coldPhase * coldTurn(now, q, e);
+    return ownsColdSlot(now, e) && coldSpent(now, e) + coldCost(q) <= coldBudget(now, e);
+  }
+
+  private boolean ownsColdSlot(long now, Engine e) {
+    long slot = coldSlot(now, e);
+    return Turns.owner(e.name, slot, settings.gateways()) == self % settings.gateways()
+        && e.info.since() + slot * coldSlotTime() >= startedAt;
+  }
+
+  private long coldSlot(long now, Engine e) {
+    return Math.floorDiv(now - e.info.since(), coldSlotTime());
+  }
+
+  private long coldSlotTime() {
+    return Math.max(1, settings.rules().fallTime() / COLD_SLOTS);
   }
 
-  private double coldTurn(long now, QueryRecord q, Engine e) {
-    return settings.rules().fallTime() * coldCost(q) / (coldBudget(now, e) * COLD_PACE);
+  private double coldSpent(long now, Engine e) {
+    return e.coldSlot == coldSlot(now, e) ? e.coldSpent : 0;
   }
 
-  /** Work that this gateway may send to a cold engine within the rule's time; taken to warm up late. */
+  /** Work that may be sent to a cold engine within one slot; the engine is taken to warm up late. */
   private double coldBudget(long now, Engine e) {
     Rules r = settings.rules();
     double age = Math.max(0, 1 - (double) (e.coldUntil - now) / r.coldTime());
     double share = r.coldShare() + (1 - r.coldShare()) * age * age;
-    return COLD_MARGIN * r.fallMultiple() * share * BUSY_CORES * e.cores * seconds(r.fallTime())
-        / settings.gateways();
+    return COLD_MARGIN * r.fallMultiple() * share * BUSY_CORES * e.cores * seconds(coldSlotTime());
   }
 
   /** The rule weighs a query by the usual work of its class; its own estimate counts where it is higher. */
@@ -422,7 +436,7 @@
       return false;
     }
     q.asked.clear();
-    q.asked.addAll(drawTwo(candidates(now, q)));
+    q.asked.addAll(drawTwo(now, candidates(now, q)));
     q.asked.forEach(e -> probe(now, e));
     q.askedUntil = now + ASK_WAIT;
     return !q.asked.isEmpty();
@@ -453,7 +467,7 @@
     List<Engine> open = fits(now, q, pool) ? candidates(now, q) : List.of();
     List<Engine> asked = open.stream() // one that has not answered since is busy, or worse
         .filter(e -> q.asked.contains(e) && e.reportAt >= q.askedUntil - ASK_WAIT).toList();
-    List<Engine> drawn = asked.isEmpty() ? drawTwo(open) : asked;
+    List<Engine> drawn = asked.isEmpty() ? drawTwo(now, open) : asked;
     return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
   }
 
@@ -461,23 +475,27 @@
     List<Engine> draw = engines.values().stream().filter(e -> hasRoom(now, q, e)).toList();
     draw = preferred(draw, e -> !q.triedOn(e));
     draw = preferred(draw, e -> e.hearsay < HEARSAY_TEST); // where another one has room, it goes there
-    draw = kept(draw);
+    draw = kept(now, draw);
     return preferred(draw, e -> loadsThere(now, q, e) == 0);
   }
 
   /** The first of them in this gateway's own order, and more of them the more it has out. */
-  private List<Engine> kept(List<Engine> draw) {
+  private List<Engine> kept(long now, List<Engine> draw) {
     double meanCores = pool.cores / Math.max(1, engines.size());
     int wanted = (int) Math.max(KEEP, Math.ceil(pool.threads / (meanCores * KEEP_SHARE)));
     return draw.size() <= wanted ? draw
-        : draw.stream().sorted(Comparator.comparingInt(e -> e.place)).limit(wanted).toList();
+        : draw.stream().sorted(Comparator.comparingInt(e -> now < e.coldUntil ? -1 : e.place)).limit(wanted)
+            .toList(); // nobody else may use a cold one's slot
   }
 
-  private List<Engine> drawTwo(List<Engine> draw) {
+  /** Two by chance; a cold one with room is one of them, since its slot is this gateway's alone and short. */
+  private List<Engine> drawTwo(long now, List<Engine> draw) {
     if (draw.size() <= 2) {
       return draw;
     }
-    int first = random.nextInt(draw.size());
+    List<Engine> cold = draw.stream().filter(e -> now < e.coldUntil).toList();
+    int first = cold.isEmpty() ? random.nextInt(draw.size())
+        : draw.indexOf(cold.get(random.nextInt(cold.size())));
     int second = random.nextInt(draw.size() - 1);
     return List.of(draw.get(first), draw.get(second < first ? second : second + 1));
   }
@@ -525,9 +543,8 @@
     e.add(a);
     pool.add(a);
     if (now < e.coldUntil) {
-      e.coldWork.add(now, coldCost(q));
-      e.coldFrom = now + (long) coldTurn(now, q, e);
-      e.coldPhase = 0;
+      e.coldSpent = coldSpent(now, e) + coldCost(q);
+      e.coldSlot = coldSlot(now, e);
     }
     e.lastSign = e.out.size() == 1 ? now : e.lastSign;
     e.restUntil = e.troubles > 0 ? now + REST : e.restUntil; // one query at a time until one is served
@@ -551,6 +568,20 @@
     return c.cost.value > 0 && c.kind.worth() / c.cost.value > DENSE * meanWorth / Math.max(cost, 1e-9);
   }
 
+  /** What may have changed while the attempt waited for its connection. */
+  @Override
+  public boolean mayStart(long now, String query, int attempt) {
+    QueryRecord q = queries.get(query);
+    if (q == null || q.over || attempt >= q.attempts.size()) {
+      return false;
+    }
+    Attempt a = q.attempts.get(attempt);
+    Engine e = a.engine;
+    boolean cold = now < e.coldUntil;
+    return !a.ended && !a.abandoned && e.state == EngineState.UP && engines.get(e.name) == e
+        && (!cold || e.coldSlot == coldSlot(now, e)) && repeatAllowed(now, q, e);
+  }
+
   // ---- While an attempt is out ----
 
   @Override
--- a/decisions/src/main/java/reachloom/Decisions.java
+++ b/decisions/src/main/java/reachloom/Decisions.java
@@ -26,6 +26,15 @@
     /** The answer of an attempt has begun to stream; it belongs to the client from here on. */
     void streaming(long now, String query, int attempt);
 
+    /**
+     * Whether an attempt that was asked for may still begin: asked in the instant before its first byte
+     * leaves, since it may have waited for a connection. A front that sends at once need not ask. One that
+     * may not has ended as {@link Outcome#NOT_SENT}.
+     */
+    default boolean mayStart(long now, String query, int attempt) {
+      return true;
+    }
+
     /** News of an attempt that is out. */
     void note(long now, Note note);
 
--- a/decisions/src/main/java/reachloom/spread/Subset.java
+++ b/decisions/src/main/java/reachloom/spread/Subset.java
@@ -57,8 +57,8 @@
     return places;
   }
 
-  /** A hash whose bits all depend on all of the name's. */
-  private static long mix(String name) {
+  /** A hash whose bits all depend on all of the name's; the same in every gateway. */
+  static long mix(String name) {
     long h = 0;
     for (int i = 0; i < name.length(); i++) {
       h = h * SHIFT_C + name.charAt(i);
--- a/decisions/src/main/java/reachloom/state/Engine.java
+++ b/decisions/src/main/java/reachloom/state/Engine.java
@@ -39,10 +39,9 @@
   public long resetAt;
   public long lastSign;
   public long coldUntil;
-  public SlidingSum coldWork;
-  /** When the next turn at the cold engine is counted from, and the part of it still to be waited. */
-  public long coldFrom;
-  public double coldPhase;
+  /** The latest slot of the cold engine in which this gateway sent, and the work sent in it. */
+  public long coldSlot = Long.MIN_VALUE;
+  public double coldSpent;
 
   /** What other instances say against it, from 0 to 1. */
   public double hearsay;
--- a/decisions/src/test/java/reachloom/Bench.java
+++ b/decisions/src/test/java/reachloom/Bench.java
@@ -34,6 +34,7 @@
   final Choice choice = new Choice(this);
   long now = 1000 * SECOND;
   int gateways = 1;
+  int self;
   long seed = 7;
   Effect longEffect = Effect.SAFE;
   Scope scope = Scope.ALL;
@@ -61,7 +62,7 @@
             longKinds, List.of(), 2, false, false),
         new QueryClass(3 * SECOND, 2, 20 * SECOND, 12, 0.5, Effect.KEYED, scope, keyWindow, ordered, false,
             List.of(), List.of(), 2, true, false));
-    choice.start(now, seed, new Settings(gateways, 0, 0, false, 5 * MS, 0.1, 0, probePrice, 0.1, classes,
+    choice.start(now, seed, new Settings(gateways, self, 0, false, 5 * MS, 0.1, 0, probePrice, 0.1, classes,
         List.of(new Kind(8, memoryMb), new Kind(8, memoryMb)), tenants,
         new Limits(5, true, reports, false, true, 2 * SECOND),
         new Rules(20 * MS, 0.3, 10 * SECOND, 2.5, SECOND, orderSettle, lookBack, extraFree, extraShare),
--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -643,6 +643,7 @@
         Bench b = new Bench();
         b.gateways = gateways;
         b.seed = g;
+        b.self = g;
         b.start(pool(1, b.now));
         for (int i = 0; i < 40; i++) {
           b.arrive("q" + i, QUICK, 0.1);
--- /dev/null
+++ b/decisions/src/test/java/reachloom/ColdSlotsTest.java
@@ -0,0 +1,138 @@
+package reachloom;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reachloom.Bench.MS;
+import static reachloom.Bench.QUICK;
+import static reachloom.Bench.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Outcome;
+
+/** What a fleet of gateways that do not talk sends to a cold engine, all together. */
+class ColdSlotsTest {
+  private static final double WORK = 0.1; // core-seconds of each query
+  private static final long STEP = 25 * MS;
+  private static final long COLD = 10 * SECOND;
+
+  /** Plays a fleet before one cold engine; gives the times at which it was sent something. */
+  private static List<Long> play(int gateways, int tellNumber, boolean skewed, boolean restarts) {
+    List<Bench> fleet = new ArrayList<>();
+    long start = new Bench().now;
+    for (int g = 0; g < gateways; g++) {
+      fleet.add(made(g, gateways, tellNumber, start, start));
+    }
+    List<Long> sent = new ArrayList<>();
+    for (long at = start; at < start + COLD - STEP; at += STEP) {
+      for (int g = 0; g < gateways; g++) {
+        Bench b = fleet.get(g);
+        if (restarts && (at - start) / STEP % 12 == g % 12) { // each three times a second and more
+          fleet.set(g, made(g, gateways, tellNumber, start, at));
+          b = fleet.get(g);
+        }
+        for (int i = 0; i < (skewed ? g == 0 ? 4 * gateways : 0 : 4); i++) {
+          b.arrive("q" + at + "-" + i, QUICK, WORK);
+        }
+        for (String action : b.take()) {
+          if (action.startsWith("send ")) {
+            sent.add(at);
+            String id = action.split(" ")[1];
+            b.end(id, 0, "a", Outcome.SERVED, 0.02, true);
+          }
+        }
+        b.take();
+        b.pass(STEP);
+        for (String action : b.take()) {
+          if (action.startsWith("send ")) {
+            sent.add(at + STEP);
+          }
+        }
+      }
+    }
+    return sent;
+  }
+
+  private static Bench made(int number, int gateways, int tellNumber, long engineStart, long now) {
+    Bench b = new Bench();
+    b.now = now;
+    b.gateways = gateways;
+    b.self = tellNumber < 0 ? -1 : number;
+    b.seed = 1000 + number;
+    return b.start(Bench.engine("a", EngineState.UP, 0, engineStart));
+  }
+
+  /** The most over any window of the rule's time, as a share of N + 2 x root of N + 2. */
+  private static double most(List<Long> sent, long start) {
+    sent.sort(null);
+    double worst = 0;
+    for (int i = 0, first = 0; i < sent.size(); i++) {
+      while (sent.get(first) < sent.get(i) - SECOND) {
+        first++;
+      }
+      double age = (sent.get(i) - start) / (double) COLD;
+      double n = 2.5 * (0.3 + 0.7 * Math.min(1, age) * Math.min(1, age)) * 0.85 * 8 / WORK;
+      worst = Math.max(worst, (i - first + 1) / (n + 2 * Math.sqrt(n) + 2));
+    }
+    return worst;
+  }
+
+  @Test
+  void allTogetherKeepTheBudgetWhateverTheirNumberTrafficAndRestarts() {
+    long start = new Bench().now;
+    for (int gateways : new int[] {1, 4, 20, 30}) {
+      for (boolean skewed : new boolean[] {false, true}) {
+        for (boolean restarts : new boolean[] {false, true}) {
+          List<Long> sent = play(gateways, 0, skewed, restarts);
+          double most = most(sent, start);
+          assertTrue(most <= 1,
+              gateways + " gateways, skewed " + skewed + ", restarts " + restarts + ": " + most);
+        }
+      }
+      assertTrue(play(gateways, 0, false, false).size() > 200, "the engine is used while it is cold");
+    }
+  }
+
+  @Test
+  void withoutNumbersOfTheirOwnGatewaysTakeSlotsByChance() {
+    List<Long> sent = play(20, -1, false, false);
+    assertTrue(sent.size() > 200);
+    double most = most(sent, new Bench().now);
+    assertTrue(most <= 2, most + ": a slot may have two owners then, or three, or none");
+  }
+
+  @Test
+  void anAttemptWhoseSlotIsOverMayNoLongerBegin() {
+    Bench b = made(0, 2, 0, new Bench().now, new Bench().now);
+    String id = null;
+    for (int i = 0; id == null; i++) {
+      b.arrive("q" + i, QUICK, WORK);
+      id = b.take().stream().filter(a -> a.startsWith("send")).map(a -> a.split(" ")[1]).findFirst()
+          .orElse(null);
+      b.pass(id == null ? STEP : 0);
+    }
+    assertTrue(b.choice.mayStart(b.now, id, 0));
+    b.now += 600 * MS; // a dial that took long
+    assertFalse(b.choice.mayStart(b.now, id, 0), "the slot belongs to another gateway by now");
+  }
+
+  @Test
+  void whatMayNoLongerBeginIsAskedOfTheModuleAndGoesElsewhere() {
+    Bench b = new Bench();
+    b.start(Bench.up("a"), Bench.up("b"));
+    b.arrive("q", QUICK, WORK);
+    String first = b.take().get(0).split(" ")[2];
+    assertTrue(b.choice.mayStart(b.now, "q", 0));
+    String other = first.equals("a") ? "b" : "a";
+    b.list(Bench.engine(first, EngineState.DRAINING, 0, 0), Bench.up(other));
+    assertFalse(b.choice.mayStart(b.now, "q", 0), "its engine is leaving");
+    b.end("q", 0, first, Outcome.NOT_SENT, 0, false);
+    assertEquals(List.of("send q " + other), b.take());
+    assertTrue(b.choice.mayStart(b.now, "q", 1));
+    b.choice.leave(b.now, "q");
+    assertFalse(b.choice.mayStart(b.now, "q", 1), "its client has left");
+  }
+}
--- a/decisions/src/test/java/reachloom/spread/SpreadTest.java
+++ b/decisions/src/test/java/reachloom/spread/SpreadTest.java
@@ -156,4 +156,22 @@
     }
     assertEquals(200, silent.fleet(100_000), "no report");
   }
+
+  @Test
+  void eachTurnHasOneOwnerAndEachGatewayOneTurnInARound() {
+    for (int gateways : new int[] {1, 2, 3, 4, 12, 60, 97, 100}) {
+      for (long first : new long[] {-5, 0, 1_000_000_007}) {
+        java.util.Set<Integer> owners = new java.util.TreeSet<>();
+        int neighbours = 0;
+        for (int i = 0; i < gateways; i++) {
+          owners.add(Turns.owner("s-00000001", first + i, gateways));
+          int step = Turns.owner("s-00000001", first + i + 1, gateways)
+              - Turns.owner("s-00000001", first + i, gateways);
+          neighbours += Math.abs(step) == 1 ? 1 : 0;
+        }
+        assertEquals(gateways, owners.size());
+        assertTrue(gateways < 8 || neighbours == 0);
+      }
+    }
+  }
 }
--- a/gateway/src/main/java/reachloom/config/SettingsReader.java
+++ b/gateway/src/main/java/reachloom/config/SettingsReader.java
@@ -53,7 +53,7 @@
   public static Settings read(JsonNode root) {
     JsonNode special = root.path("specifics");
     JsonNode prices = root.path("deductions");
-    return new Settings(Math.max(1, root.path("balancers").asInt()), root.path("selfIndex").asInt(),
+    return new Settings(Math.max(1, root.path("balancers").asInt()), root.path("selfIndex").asInt(-1),
         root.path("zone").asInt(), "subscribe".equals(root.path("discovery").asText()),
         root.path("tick").asLong(), root.path("overShareWorth").asDouble(1),
         prices.path("crossZone").asDouble(), prices.path("probe").asDouble(),
--- a/gateway/src/main/java/reachloom/gateway/ChangeLog.java
+++ b/gateway/src/main/java/reachloom/gateway/ChangeLog.java
@@ -3,14 +3,17 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.Decisions.EngineState;
 import reachloom.config.Member;
+import reachloom.discovery.Watch;
 import reachloom.gateway.tables.Deadlines.Deadline;
 import reachloom.gateway.wire.Change;
 import reachloom.gateway.wire.ChangeLogDecoder;
@@ -21,29 +24,17 @@
 /** Follows the change log from the last event held; the list held stays while it is away. */
 final class ChangeLog {
   private static final Logger LOG = System.getLogger(ChangeLog.class.getName());
-  private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final AttributeKey ROUND = new AttributeKey(ChangeLog.class, "round");
-  /** A frame comes each second at least: silence for longer is a break. */
-  private static final long MOST_SILENCE = 2_500 * MILLISECOND;
-  private static final long DIAL_TIMEOUT = 500 * MILLISECOND;
-  private static final long FIRST_PAUSE = 100 * MILLISECOND;
-  /** Short beside the 2 s within which a gateway has to find a log again that broke off. */
-  private static final long LONGEST_PAUSE = 400 * MILLISECOND;
-  /** A start does not wait longer for a log that can't be reached. */
-  private static final long LONGEST_START = 400 * MILLISECOND;
-  /** What a log holds follows the question at once: it has told all when it is quiet for so long. */
-  private static final long QUIET = 100 * MILLISECOND;
 
   private final Loop loop;
+  private final Closing closing;
   private final NioSocketConnector connector;
-  private final SplittableRandom random;
+  private final Watch watch;
+  /** Parts of a list that is told anew from its beginning. */
+  private final Map<String, Member> parts = new LinkedHashMap<>();
   private final Consumer<Change> news;
   private final Runnable away;
   private InetSocketAddress address;
-  private long last;
-  /** The last event held when a gap was met. */
-  private long gapAt = -1;
-  private long pause = FIRST_PAUSE;
   /** Numbers connections, so that one given up is no longer listened to. */
   private long round;
   private IoSession session;
@@ -55,12 +46,12 @@
   private long waitingUntil;
   private Deadline settling;
 
-  ChangeLog(Loop loop, Sockets sockets, InetSocketAddress address, long last, long seed, int zones, int kinds,
-      Consumer<Change> news, Runnable away) {
+  ChangeLog(Loop loop, Sockets sockets, Closing closing, InetSocketAddress address, long last, long seed,
+      int zones, int kinds, Consumer<Change> news, Runnable away) {
     this.loop = loop;
+    this.closing = closing;
     this.address = address;
-    this.last = last;
-    this.random = new SplittableRandom(seed);
+    watch = new Watch(last, seed);
     this.news = news;
     this.away = away;
     connector = sockets.connector(
@@ -72,17 +63,16 @@
    * now. Nothing is waited for: the old address tells no more, and the new one goes on with the same numbers.
    */
   void follow(InetSocketAddress now, long lastKnown, List<Member> known) {
-    if (lastKnown > last) {
-      last = lastKnown;
+    if (watch.toldElsewhere(lastKnown)) {
       news.accept(new Change(lastKnown, false, true, known));
     }
     if (now.equals(address)) {
       return;
     }
     LOG.log(Level.INFO, "change log: {0} from now on instead of {1}, after event {2}", now, address,
-        Long.toString(last));
+        Long.toString(watch.last()));
     address = now;
-    pause = FIRST_PAUSE;
+    watch.moved();
     letGo();
     connect();
   }
@@ -93,7 +83,7 @@
    */
   void whenCaughtUp(Runnable then) {
     waiting = then;
-    waitingUntil = loop.now() + LONGEST_START;
+    waitingUntil = loop.now() + Watch.LONGEST_START;
     settling = loop.deadlines().add(waitingUntil, this::caughtUp);
   }
 
@@ -111,7 +101,7 @@
     if (nothing) {
       caughtUp();
     } else {
-      settling = loop.deadlines().add(Math.min(waitingUntil, loop.now() + QUIET), this::caughtUp);
+      settling = loop.deadlines().add(Math.min(waitingUntil, loop.now() + Watch.QUIET), this::caughtUp);
     }
   }
 
@@ -124,10 +114,10 @@
         loop.post(0, () -> broken(mine, "no connection"));
       }
     });
-    watch(DIAL_TIMEOUT, "no connection in time");
+    awaited(Watch.DIAL_TIMEOUT, "no connection in time");
   }
 
-  private void watch(long time, String why) {
+  private void awaited(long time, String why) {
     loop.deadlines().cancel(silence);
     long mine = round;
     silence = loop.deadlines().add(loop.now() + time, () -> broken(mine, why));
@@ -138,12 +128,9 @@
       return;
     }
     LOG.log(Level.INFO, "change log at {0}: {1}; the list of event {2} stays", address, why,
-        Long.toString(last));
+        Long.toString(watch.last()));
     letGo();
-    // Half of it by chance, so that gateways that lost it together come back one by one.
-    long wait = pause / 2 + random.nextLong(pause / 2 + 1);
-    pause = Math.min(LONGEST_PAUSE, pause * 2);
-    retry = loop.deadlines().add(loop.now() + wait, this::connect);
+    retry = loop.deadlines().add(loop.now() + watch.pause(), this::connect);
     away.run();
   }
 
@@ -153,7 +140,7 @@
     loop.deadlines().cancel(silence);
     loop.deadlines().cancel(retry);
     if (session != null) {
-      session.closeNow();
+      closing.end(session);
       session = null;
     } else if (dialling != null) {
       Sockets.giveUp(dialling);
@@ -164,18 +151,34 @@
     if (waiting != null) {
       loop.later(() -> settle(change.nothing())); // once it is dealt with
     }
-    pause = FIRST_PAUSE;
-    watch(MOST_SILENCE, "silent");
-    if (change.nothing() || change.number() <= last) {
-      return; // a sign of life, or an event told before
+    awaited(Watch.MOST_SILENCE, "silent");
+    long before = watch.last();
+    switch (watch.heard(change.number(), change.whole(), change.nothing())) {
+      case TAKE -> news.accept(change);
+      case MISSED -> broken(round, "event " + change.number() + " after " + before);
+      case FOLD -> fold(change);
+      case WHOLE -> {
+        fold(change);
+        news.accept(new Change(change.number(), false, true, List.copyOf(parts.values())));
+        parts.clear();
+      }
+      default -> {
+        // a sign of life, or an event told before
+      }
     }
-    if (!change.whole() && change.number() > last + 1 && gapAt != last) {
-      gapAt = last; // a log that still has it so when asked again numbers its events with gaps
-      broken(round, "event " + change.number() + " after " + last);
-      return;
+  }
+
+  private void fold(Change change) {
+    if (change.whole()) {
+      parts.clear();
+    }
+    for (Member m : change.members()) {
+      if (m.info().state() == EngineState.GONE) {
+        parts.remove(m.info().name());
+      } else {
+        parts.put(m.info().name(), m);
+      }
     }
-    last = change.number();
-    news.accept(change);
   }
 
   private final class Heard implements Listener<Change> {
@@ -191,8 +194,10 @@
         if (waiting != null) {
           settle(false);
         }
-        Sockets.write(s, ChangeLogDecoder.hello(last));
-        watch(MOST_SILENCE, "silent");
+        watch.asked();
+        parts.clear();
+        Sockets.write(s, ChangeLogDecoder.hello(watch.askAfter()));
+        awaited(Watch.MOST_SILENCE, "silent");
       });
     }
 
--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -6,8 +6,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -47,8 +49,16 @@
   /** An answer that has stopped for so long will not go on: an engine may pause, but hardly within one. */
   private static final long MOST_PARTIAL = 1_000 * MILLISECOND;
 
+  /** Bytes that a connection has not taken yet: past that, requests wait here, where they can be ended. */
+  private static final int MOST_HANDED = 8 * 1024;
+  /** A request given up that its connection has not taken whole by then is kept back by ending that. */
+  private static final long STUCK = 50 * MILLISECOND;
+
   /** Hears what becomes of attempts and probes; on the loop's thread. */
   interface Watcher {
+    /** Asked in the instant before the first byte of an attempt leaves: whether it may still begin. */
+    boolean mayStart(Attempt attempt);
+
     void ended(Attempt attempt, Outcome outcome);
 
     void noted(Attempt attempt, NoteKind kind, double amount);
@@ -62,22 +72,28 @@
   }
 
   private final Loop loop;
+  private final Closing closing;
   private final Watcher watcher;
   private final Transport transport;
   private final boolean reports;
   private final NioSocketConnector connector;
   private final Slots<Link> table;
   private final Map<String, Peer> peers = new LinkedHashMap<>();
+  /** Connections on which something waits to be handed over, and that have to be looked at again. */
+  private final Set<Link> toHandOver = new LinkedHashSet<>();
   private long probeCount;
   private long gathered;
 
-  Engines(Loop loop, Sockets sockets, Watcher watcher, Transport transport, boolean reports, int mostLinks) {
+  Engines(Loop loop, Sockets sockets, Closing closing, Watcher watcher, Transport transport, boolean reports,
+      int mostLinks) {
     this.loop = loop;
+    this.closing = closing;
     this.watcher = watcher;
     this.transport = transport;
     this.reports = reports;
     this.table = new Slots<>(mostLinks);
     this.connector = sockets.connector(new DecodingHandler<>("engine", NodeDecoder::new, new Heard()));
+    loop.atTurnEnd(this::handOver);
   }
 
   // ---- The list of engines ----
@@ -101,6 +117,12 @@
         }
       }
     }
+    for (Peer p : peers.values()) {
+      toHandOver.addAll(p.links); // what waits there may no longer be allowed
+      if (p.member == null || p.member.info().state() != EngineState.UP) {
+        p.links.forEach(l -> l.open.values().forEach(this::keepFromLeaving));
+      }
+    }
     List.copyOf(peers.values()).stream().filter(p -> p.member == null)
         .forEach(p -> List.copyOf(p.links).stream().filter(Link::unused).forEach(l -> close(l, false)));
     peers.values().removeIf(p -> p.member == null && p.links.isEmpty());
@@ -116,6 +138,11 @@
     return table.size();
   }
 
+  /** How many attempts wait to be handed to their connections. */
+  int unhanded() {
+    return table.all().stream().mapToInt(l -> l.waiting.size()).sum();
+  }
+
   // ---- Attempts ----
 
   /** Brings an attempt to its engine; what becomes of it is told later, never within this call. */
@@ -127,9 +154,51 @@
     }
     a.link = link;
     link.open.put(a.request.id, a);
+    link.waiting.add(a);
+    toHandOver.add(link);
     touch(link);
-    if (link.session != null) {
-      ask(a);
+  }
+
+  /**
+   * Hands what waits to the connections, at the end of a turn, when all that has come is known. Each attempt
+   * is asked for once more just before its first byte leaves: it may have waited for a dial, or for a
+   * connection that takes nothing.
+   */
+  private void handOver() {
+    List<Link> links = List.copyOf(toHandOver);
+    toHandOver.clear();
+    boolean refused = false;
+    for (Link l : links) {
+      for (Attempt a : List.copyOf(l.waiting)) {
+        if (!watcher.mayStart(a)) {
+          l.waiting.remove(a);
+          loop.later(() -> end(a, Outcome.NOT_SENT));
+          refused = true;
+        } else if (l.session != null && l.session.getScheduledWriteBytes() <= MOST_HANDED) {
+          l.waiting.remove(a);
+          ask(a);
+        }
+      }
+      if (l.session != null && !l.waiting.isEmpty()) {
+        l.writing.addListener(f -> loop.post(0, () -> toHandOver.add(l)));
+      }
+    }
+    if (refused) {
+      loop.later(this::handOver); // what the module sends instead
+    }
+  }
+
+  /** Where an attempt that may not begin is on its way, and its connection doesn't take it, that ends. */
+  private void keepFromLeaving(Attempt a) {
+    if (a.reach() == Reach.NOT_WHOLE) {
+      Link l = a.link;
+      loop.deadlines().add(loop.now() + STUCK, () -> {
+        if (!l.closed && !a.written.isWritten()) {
+          LOG.log(Level.INFO, "engine {0} takes nothing; its connection is closed", l.engine);
+          l.suspect = true;
+          l.session.closeNow(); // how far each came is judged once nothing more can leave
+        }
+      });
     }
   }
 
@@ -142,6 +211,7 @@
     Link best = null;
     for (Link l : peer.links) {
       boolean fresh = a == null || a.request.attempts.stream().noneMatch(o -> o.link == l);
+      fresh &= l.session == null || !l.session.isClosing();
       if (fresh && l.open.size() < transport.streamsPerConn() && (best == null || better(l, best))) {
         best = l;
       }
@@ -166,7 +236,7 @@
     long now = loop.now();
     long budget = Math.max(1, (a.until - now) / MILLISECOND);
     a.reach = Reach.NOT_WHOLE;
-    a.written = Sockets.write(a.link.session,
+    a.written = a.link.writing = Sockets.write(a.link.session,
         NodeWriter.ask(a.request.id, a.request.queryClass, budget, a.request.key, a.request.priority,
             new Bytes(a.request.frame, a.request.from, a.request.length)));
   }
@@ -180,6 +250,8 @@
       return;
     }
     l.open.remove(a.request.id);
+    l.waiting.remove(a);
+    keepFromLeaving(a);
     if (a.reach != Reach.NOT_CONNECTED) {
       // Silence is told by time: a request withdrawn at once has seen none.
       l.suspect |= l.lastHeard < a.sentAt && loop.now() - a.sentAt > transport.dialTimeout();
@@ -265,7 +337,7 @@
     loop.deadlines().cancel(l.dial);
     l.session = session;
     l.lastHeard = loop.now();
-    l.open.values().forEach(this::ask);
+    toHandOver.add(l);
     l.probes.keySet().forEach(tag -> write(l, NodeWriter.probe(tag, reports)));
     rest(l);
   }
@@ -310,14 +382,13 @@
       }
     }
     if (l.session != null) {
-      IoSession session = l.session;
-      session.closeOnFlush(); // commands that give requests up go out first
-      // ... and where nobody reads them, not at all
-      loop.deadlines().add(loop.now() + transport.dialTimeout(), session::closeNow);
+      closing.end(l.session); // commands that give requests up go out first
     }
     List<Attempt> open = List.copyOf(l.open.values());
     List<String> tags = List.copyOf(l.probes.keySet());
     l.open.clear();
+    l.waiting.clear();
+    toHandOver.remove(l);
     for (Attempt a : open) {
       Reach reach = a.reach();
       boolean mayStillGo = reach == Reach.NOT_WHOLE && !hasEnded;
@@ -331,7 +402,7 @@
 
   private void write(Link l, ByteBuffer bytes) {
     if (l.session != null && !l.closed) {
-      Sockets.write(l.session, bytes);
+      l.writing = Sockets.write(l.session, bytes);
     }
   }
 
@@ -372,6 +443,17 @@
       });
     }
 
+    @Override
+    public void spoilt(IoSession session) {
+      long handle = (Long) session.getAttribute(LINK);
+      loop.post(0, () -> {
+        Link l = table.get(handle);
+        if (l != null) {
+          close(l, false);
+        }
+      });
+    }
+
     @Override
     public void closed(IoSession session) {
       long handle = (Long) session.getAttribute(LINK);
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -82,6 +82,7 @@
   private final Loop loop;
   private final Events module;
   private final Sockets sockets;
+  private final Closing closing;
   private final Engines engines;
   private final ChangeLog changeLog;
   private final Clients clients;
@@ -104,9 +105,10 @@
     sockets = new Sockets(third + third / ARRIVING_PART);
     clients = new Clients(third);
     requests = new Slots<>(config.transport().maxOpen());
-    engines = new Engines(loop, sockets, this, config.transport(),
+    closing = new Closing(loop, sockets, config.transport().dialTimeout(), third / ARRIVING_PART);
+    engines = new Engines(loop, sockets, closing, this, config.transport(),
         config.settings().traits().reports(), third);
-    changeLog = new ChangeLog(loop, sockets, config.changeLog(), config.lastEvent(), config.seed(),
+    changeLog = new ChangeLog(loop, sockets, closing, config.changeLog(), config.lastEvent(), config.seed(),
         config.names().zones().size(), config.names().kinds().size(), this::changed, this::changeLogAway);
   }
 
@@ -177,19 +179,19 @@
   /** Takes no more clients, and closes the connections once what they are owed is written. */
   public void close() {
     sockets.unbind();
-    clients.all().forEach(c -> c.session.closeOnFlush());
+    clients.all().forEach(this::hangUp);
+  }
+
+  /** How many connections are still on their way to their end. */
+  public int closing() {
+    return closing.pending();
   }
 
   /** What all tables hold, by name; for the loop's own thread. */
   Map<String, Integer> held() {
     return Map.of("requests", requests.size(), "ids", byId.size(), "clients", clients.size(), "statements",
-        (int) heldBytes, "engines", engines.known(), "connections", engines.connections(), "deadlines",
-        loop.deadlines().size());
-  }
-
-  /** How many connections of clients are open. */
-  public int clientCount() {
-    return clients.size();
+        (int) heldBytes, "engines", engines.known(), "connections", engines.connections(), "unhanded",
+        engines.unhanded(), "deadlines",        loop.deadlines().size());
   }
 
   /** An exception of the module costs what the event was about, not the process. */
@@ -279,6 +281,16 @@
       });
     }
 
+    @Override
+    public void spoilt(IoSession session) {
+      loop.post(0, () -> {
+        Client c = client(session);
+        if (c != null) {
+          hangUp(c);
+        }
+      });
+    }
+
     @Override
     public void closed(IoSession session) {
       loop.post(0, () -> {
@@ -317,12 +329,7 @@
 
   private void hangUp(Client c) {
     clients.remove(c);
-    if (c.session.getScheduledWriteMessages() == 0) {
-      c.session.closeNow();
-    } else {
-      c.session.closeOnFlush();
-      loop.deadlines().add(loop.now() + SWEEP, c.session::closeNow); // where nobody reads what waits
-    }
+    closing.end(c.session);
     List.copyOf(c.open.values()).forEach(this::left);
   }
 
@@ -457,6 +464,19 @@
 
   // ---- What becomes of attempts ----
 
+  /** The conditions that hold when bytes leave: the front's own, and what the module says. */
+  @Override
+  public boolean mayStart(Attempt a) {
+    Request r = a.request;
+    long now = loop.now();
+    try {
+      return !r.over && !a.ended && now < a.until && module.mayStart(now, r.id, a.number);
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "the decision module failed on an event", e);
+      return false;
+    }
+  }
+
   @Override
   public void ended(Attempt a, Outcome outcome) {
     finish(a, outcome);
--- a/gateway/src/main/java/reachloom/gateway/Loop.java
+++ b/gateway/src/main/java/reachloom/gateway/Loop.java
@@ -29,6 +29,7 @@
   private final Handover<Task> queue = new Handover<>();
   private final Semaphore room = new Semaphore(MOST_WAITING);
   private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+  private Runnable atTurnEnd = () -> { };
   private volatile boolean ended;
 
   /** The present time on the Unix clock, in nanoseconds. */
@@ -62,6 +63,19 @@
     later.add(action);
   }
 
+  /**
+   * Does that at the end of each turn, once all that had come by its beginning has been dealt with: what
+   * leaves the process leaves then, so that nothing is sent that a close, a cancel or a list forbids.
+   */
+  public void atTurnEnd(Runnable action) {
+    atTurnEnd = action;
+  }
+
+  /** Bytes of messages that wait to be dealt with. */
+  int waiting() {
+    return MOST_WAITING - room.availablePermits();
+  }
+
   /** Ends the loop after the present event. */
   public void end() {
     ended = true;
@@ -94,6 +108,7 @@
     for (Runnable due = deadlines.poll(now); due != null; due = deadlines.poll(now)) {
       run(due);
     }
+    run(atTurnEnd);
   }
 
   /**
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -39,7 +39,8 @@
    * closed draws a reset, which takes the answers with it that it has not read yet. It makes restarts longer.
    */
   private static final long LINGER = 120 * MILLISECOND;
-  private static final long FLUSH = 50 * MILLISECOND;
+  /** ... and clients have so long to close theirs once the gateway has shut its output. */
+  private static final long FLUSH = 100 * MILLISECOND;
   /** Between looks at the configuration file where no signal tells of a new one; 4 s are allowed. */
   private static final long LOOK_MS = 1_000;
 
@@ -250,7 +251,7 @@
   }
 
   private void drain(long until) {
-    if (gateway.clientCount() > 0 && loop.now() < until) {
+    if (gateway.closing() > 0 && loop.now() < until) {
       loop.deadlines().add(loop.now() + CHECK, () -> drain(until));
       return;
     }
--- a/gateway/src/main/java/reachloom/gateway/tables/Link.java
+++ b/gateway/src/main/java/reachloom/gateway/tables/Link.java
@@ -1,7 +1,10 @@
 package reachloom.gateway.tables;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import reachloom.gateway.tables.Deadlines.Deadline;
 
@@ -16,6 +19,10 @@
   public long handle;
   /** What is open on it, by id. */
   public final Map<String, Attempt> open = new LinkedHashMap<>();
+  /** Those of them that wait to be handed to the connection, oldest first. */
+  public final Set<Attempt> waiting = new LinkedHashSet<>();
+  /** The latest write of a request. */
+  public WriteFuture writing;
   /** Probes that are out on it, by tag, with the deadline of each. */
   public final Map<String, Deadline> probes = new LinkedHashMap<>();
   public long lastHeard;
--- a/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
@@ -18,6 +18,8 @@
   private static final Logger LOG = System.getLogger(DecodingHandler.class.getName());
   private static final AttributeKey DECODER = new AttributeKey(DecodingHandler.class, "decoder");
 
+  private static final AttributeKey ONCE_WRITTEN = new AttributeKey(DecodingHandler.class, "onceWritten");
+
   private final String peer;
   private final Supplier<Decoder<M>> decoders;
   private final Listener<M> listener;
@@ -29,6 +31,29 @@
     this.listener = listener;
   }
 
+  /** What still comes on a connection is read and dropped from now on. */
+  public static void readNoMore(IoSession session) {
+    session.removeAttribute(DECODER);
+  }
+
+  /** Does that once all that was handed to the connection is written; on either thread, and perhaps twice. */
+  static void onceWritten(IoSession session, Runnable then) {
+    session.setAttribute(ONCE_WRITTEN, then);
+    writtenAll(session);
+  }
+
+  private static void writtenAll(IoSession session) {
+    if (session.getScheduledWriteMessages() == 0
+        && session.getAttribute(ONCE_WRITTEN) instanceof Runnable then) {
+      then.run();
+    }
+  }
+
+  @Override
+  public void messageSent(IoSession session, Object message) {
+    writtenAll(session);
+  }
+
   @Override
   public void sessionOpened(IoSession session) {
     session.setAttribute(DECODER, decoders.get());
@@ -54,8 +79,8 @@
     if (fault != null) {
       LOG.log(Level.WARNING, "{0} {1} sent {2}; its connection is closed", peer, session.getRemoteAddress(),
           fault);
-      session.removeAttribute(DECODER);
-      session.closeNow();
+      readNoMore(session);
+      listener.spoilt(session);
     } else if (decoder.partial() && (!before || share[0] == 0)) {
       listener.begun(session);
     }
--- a/gateway/src/main/java/reachloom/gateway/wire/Listener.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Listener.java
@@ -18,6 +18,11 @@
   default void begun(IoSession session) {
   }
 
+  /** What came can't be read, and nothing more is: the connection is to be ended. */
+  default void spoilt(IoSession session) {
+    session.closeNow();
+  }
+
   /** A connection has ended, by whichever side. */
   void closed(IoSession session);
 }
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -3,7 +3,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,7 +17,6 @@
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -34,9 +38,37 @@
     t.setDaemon(true);
     return t;
   });
-  private final IoProcessor<NioSession> processor =
-      new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
-  private final NioSocketAcceptor acceptor;
+  private final HalfClosing processor = new HalfClosing(threads);
+  private final BoundedAcceptor acceptor;
+
+  /** The library's, which can also shut the output of a connection alone. */
+  private static final class HalfClosing extends NioProcessor {
+    HalfClosing(Executor threads) {
+      super(threads);
+    }
+
+    private void shutOutput(IoSession session) {
+      for (SelectionKey key : selector.keys()) {
+        if (key.attachment() == session && key.channel() instanceof SocketChannel channel) {
+          try {
+            channel.shutdownOutput();
+          } catch (IOException e) { // it has ended by itself
+            session.closeNow();
+          }
+          return;
+        }
+      }
+    }
+  }
+
+  /**
+   * Shuts the output of a connection once all that was handed to it is written; nothing may be written later.
+   * It takes no place among the clients any more: whoever ends connections bounds those that are ending.
+   */
+  public void shutOutputOnceWritten(IoSession session) {
+    acceptor.leave(session);
+    DecodingHandler.onceWritten(session, () -> processor.shutOutput(session));
+  }
 
   /** Sockets of which at most that many are held for clients; further ones wait in the system's queue. */
   public Sockets(int mostClients) {
@@ -50,6 +82,7 @@
   private final class BoundedAcceptor extends NioSocketAcceptor {
     private final int most;
     private final AtomicInteger held = new AtomicInteger();
+    private final Set<IoSession> holders = ConcurrentHashMap.newKeySet();
 
     BoundedAcceptor(int most) {
       super(threads, processor);
@@ -65,10 +98,17 @@
       NioSession session = super.accept(of, channel);
       if (session != null) {
         held.incrementAndGet();
-        session.getCloseFuture().addListener(f -> held.decrementAndGet());
+        holders.add(session);
+        session.getCloseFuture().addListener(f -> leave(session));
       }
       return session;
     }
+
+    private void leave(IoSession session) {
+      if (holders.remove(session)) {
+        held.decrementAndGet();
+      }
+    }
   }
 
   /** Listens for clients on that address only. */
--- /dev/null
+++ b/gateway/src/test/java/reachloom/gateway/EndingsTest.java
@@ -0,0 +1,363 @@
+package reachloom.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Query;
+import reachloom.config.GatewayConfig;
+import reachloom.gateway.HeldPeer.Connection;
+import reachloom.standin.ChangeLogStandIn;
+import reachloom.standin.GatewayProcess;
+import reachloom.standin.NodeStandIn;
+import reachloom.standin.ThriftClient;
+
+/**
+ * What is owed when something ends, on real connections, with the bad order made to happen: a dial that is
+ * up only after the client has left, a connection that takes nothing, a cancel that has come before the
+ * request is dealt with, bytes that come to a connection that is being closed. See docs/design/endings.md.
+ */
+@Timeout(60)
+class EndingsTest {
+  private static final String ENGINE = "s-00000001";
+  private static final String OTHER = "s-00000002";
+  /** Statements so long that a few of them fill a connection which takes nothing. */
+  private static final String LONG = "select '" + "x".repeat(60_000) + "'";
+
+  @TempDir
+  Path folder;
+
+  private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+  private final Loop loop = new Loop();
+  private HeldPeer engine;
+  private NodeStandIn other;
+  private ChangeLogStandIn changeLog;
+  private GatewayConfig config;
+  private Actions actions;
+  private Gateway gateway;
+  /** What the module says of attempts that are about to begin, and whether it sends what arrives. */
+  private volatile boolean allowed = true;
+  private volatile boolean sendAtOnce;
+
+  /** How a client goes. */
+  enum Leaving {
+    CLOSE, RESET, HALF_CLOSE, INTERRUPT;
+
+    void go(ThriftClient c, int seq) throws IOException {
+      switch (this) {
+        case CLOSE -> c.close();
+        case RESET -> c.reset();
+        case HALF_CLOSE -> c.halfClose();
+        default -> c.interrupt(seq);
+      }
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    engine = new HeldPeer();
+    other = new NodeStandIn();
+    changeLog = new ChangeLogStandIn(1);
+    String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog.address(), engine.address(),
+        other.address()).replace("\"dialTimeout\":250000000", "\"dialTimeout\":9000000000");
+    config = GatewayConfig.fromFile(Files.writeString(folder.resolve("config.json"), text), Map.of());
+    gateway = new Gateway(config, loop, a -> {
+      actions = a;
+      return new FrontsTest.Recorder(told) {
+        @Override
+        public boolean mayStart(long now, String query, int attempt) {
+          return allowed;
+        }
+
+        @Override
+        public void arrive(long now, Query query) {
+          super.arrive(now, query);
+          if (sendAtOnce) {
+            actions.send(query.id(), ENGINE, 0);
+          }
+        }
+
+        @Override
+        public void leave(long now, String query) {
+          super.leave(now, query);
+          actions.cancel(query, 0);
+        }
+      };
+    });
+    gateway.listen();
+    loop.post(0, gateway::start);
+    NodeStandIn.daemon(loop);
+    next(reachloom.Decisions.Settings.class);
+    next(List.class);
+  }
+
+  @AfterEach
+  void end() throws IOException {
+    loop.post(0, loop::end);
+    engine.close();
+    other.close();
+    changeLog.close();
+  }
+
+  private <T> T next(Class<T> type) throws InterruptedException {
+    Object event = told.poll(20, TimeUnit.SECONDS);
+    assertTrue(type.isInstance(event), "told " + event + " for " + type.getSimpleName());
+    return type.cast(event);
+  }
+
+  private void act(Runnable action) {
+    loop.post(0, action);
+  }
+
+  private int held(String table) {
+    CompletableFuture<Integer> held = new CompletableFuture<>();
+    loop.post(0, () -> held.complete(gateway.held().get(table)));
+    return held.join();
+  }
+
+  private static void await(BooleanSupplier wanted) throws InterruptedException {
+    for (int i = 0; i < 2_000 && !wanted.getAsBoolean(); i++) {
+      Thread.sleep(5);
+    }
+    assertTrue(wanted.getAsBoolean());
+  }
+
+  /** Holds the loop until the latch opens; returns once it is held. */
+  private CountDownLatch hold() throws InterruptedException {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    loop.post(0, () -> {
+      held.countDown();
+      try {
+        go.await(20, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    assertTrue(held.await(10, TimeUnit.SECONDS));
+    return go;
+  }
+
+  /**
+   * While the loop is held: what was sent before has been read by the thread of the sockets. It goes round
+   * all connections: once a second message has been read, the round in which the first one was is over.
+   */
+  private void allHasBeenRead() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      try (ThriftClient fence = new ThriftClient(config.listen())) {
+        int before = loop.waiting();
+        fence.execute("x".repeat(1_000), "verb", "strange");
+        await(() -> loop.waiting() >= before + 1_000);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void aQueryWhoseClientLeavesWhileItsDialHangsIsNeverSent(Leaving how) throws Exception {
+    engine.holdDials();
+    ThriftClient c = new ThriftClient(config.listen());
+    int seq = c.execute("select 1");
+    Query q = next(Query.class);
+    act(() -> actions.send(q.id(), ENGINE, 0));
+    how.go(c, seq);
+    assertEquals("leave " + q.id(), next(String.class));
+    act(() -> actions.probe(ENGINE));
+    engine.releaseDials();
+    // The probe waited for the same connection: what was to be sent before it comes before it.
+    assertEquals(List.of("INFO p0"), engine.accept().linesUpTo("INFO"));
+    c.close();
+  }
+
+  @Test
+  void aQueryWhoseEngineLeavesWhileItsDialHangsGoesBackAsOneThatNeverRan() throws Exception {
+    engine.holdDials();
+    try (ThriftClient c = new ThriftClient(config.listen())) {
+      c.execute("select 1", "verb", "once");
+      Query q = next(Query.class);
+      act(() -> actions.send(q.id(), ENGINE, 0));
+      await(() -> held("connections") == 1);
+      allowed = false;
+      changeLog.add(1, other, 1);
+      assertEquals(EngineInfo.class, next(List.class).get(0).getClass());
+      AttemptEnd end = next(AttemptEnd.class);
+      assertEquals(Outcome.NOT_SENT, end.outcome(), "told when the list tells, not when the dial comes up");
+      allowed = true;
+      act(() -> actions.send(q.id(), OTHER, 0));
+      assertEquals(NodeStandIn.ROW, c.reply().body());
+      engine.releaseDials();
+      act(() -> actions.probe(ENGINE));
+      assertEquals(List.of("INFO p0"), engine.accept().linesUpTo("INFO"));
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void aQueryThatIsGivenUpBeforeItIsDealtWithIsNeverSent(Leaving how) throws Exception {
+    // The module asks for an attempt as soon as it hears of the query, as it does in service.
+    sendAtOnce = true;
+    ThriftClient c = new ThriftClient(config.listen());
+    act(() -> actions.probe(ENGINE));
+    Connection connection = engine.accept(); // it is up: nothing waits for a dial
+    assertEquals(List.of("INFO p0"), connection.linesUpTo("INFO"));
+    CountDownLatch go = hold();
+    int seq = c.execute("select 1");
+    allHasBeenRead();
+    how.go(c, seq);
+    allHasBeenRead();
+    go.countDown();
+    next(Query.class);
+    assertTrue(next(String.class).startsWith("leave "));
+    act(() -> actions.probe(ENGINE));
+    assertEquals(List.of("INFO p1"), connection.linesUpTo("INFO"), "what has come counts first");
+    c.close();
+  }
+
+  /** Sends until the connection takes nothing: one request is on it in part, and one waits behind it. */
+  private Connection stuck(List<ThriftClient> fillers) throws Exception {
+    Connection connection = null;
+    String first = null;
+    for (int quiet = 0; quiet < 40 && fillers.size() < 120;) {
+      if (held("unhanded") > 0) {
+        // The system tells late that it has room again; a further word makes it take what it can.
+        String query = first;
+        int priority = 2 + quiet++ % 2;
+        act(() -> actions.terms(query, 0, priority));
+        Thread.sleep(5);
+        continue;
+      }
+      quiet = 0;
+      ThriftClient filler = new ThriftClient(config.listen());
+      fillers.add(filler);
+      filler.execute(LONG, "limit", "60000");
+      Query q = next(Query.class);
+      first = first == null ? q.id() : first;
+      act(() -> actions.send(q.id(), ENGINE, 0));
+      connection = connection == null ? engine.accept() : connection;
+    }
+    assertEquals(1, held("unhanded"));
+    return connection;
+  }
+
+  @Test
+  void whatWaitsBehindAConnectionThatTakesNothingCanStillBeEnded() throws Exception {
+    List<ThriftClient> fillers = new ArrayList<>();
+    try (ThriftClient c = new ThriftClient(config.listen())) {
+      Connection connection = stuck(fillers);
+      int seq = c.execute("select 'the one'");
+      Query q = next(Query.class);
+      act(() -> actions.send(q.id(), ENGINE, 0));
+      c.interrupt(seq);
+      assertEquals("leave " + q.id(), next(String.class));
+      act(() -> actions.probe(ENGINE));
+      List<String> lines = connection.linesUpTo("INFO");
+      assertTrue(lines.size() > 2, "the connection goes on: " + lines.size());
+      assertTrue(lines.stream().noneMatch(l -> l.contains(q.id())), "neither it nor that it is given up");
+    } finally {
+      for (ThriftClient f : fillers) {
+        f.close();
+      }
+    }
+  }
+
+  @Test
+  void aRequestGivenUpWhileItIsHalfWrittenDoesNotArriveLater() throws Exception {
+    List<ThriftClient> fillers = new ArrayList<>();
+    try {
+      Connection connection = stuck(fillers);
+      int whole = fillers.size();
+      for (ThriftClient f : fillers) {
+        f.close();
+      }
+      await(() -> held("connections") == 0); // it was ended, since it could not be kept from leaving
+      int requests = 0;
+      String line;
+      try {
+        while ((line = connection.request()) != null) {
+          requests += line.startsWith("ASK") ? 1 : 0;
+        }
+      } catch (IOException e) {
+        // a reset: nothing more comes, whole or not
+      }
+      assertTrue(requests < whole, requests + " of " + whole + " came whole");
+    } finally {
+      for (ThriftClient f : fillers) {
+        f.close();
+      }
+    }
+  }
+
+  @Test
+  void whatIsOwedIsWrittenBeforeAConnectionOnWhichNonsenseFollowsEnds() throws Exception {
+    for (int i = 0; i < 20; i++) {
+      try (ThriftClient c = new ThriftClient(config.listen())) {
+        CountDownLatch go = hold();
+        c.checkAndNonsense(2_000);
+        allHasBeenRead();
+        AtomicBoolean more = new AtomicBoolean(true); // so that a close is one over unread bytes
+        NodeStandIn.daemon(() -> {
+          try {
+            while (more.get()) {
+              c.raw(new byte[8_192]);
+            }
+          } catch (IOException e) {
+            // the connection is gone
+          }
+        });
+        go.countDown();
+        assertFalse(c.reply().good(), "the answer to what could be read");
+        assertTrue(c.ended(), "and then the end, no reset");
+        more.set(false);
+      }
+    }
+  }
+
+  @Test
+  void anEngineReadsThatARequestIsGivenUpThoughItsOwnWordsAreOnTheirWay() throws Exception {
+    try (ThriftClient c = new ThriftClient(config.listen())) {
+      c.execute("select 1");
+      Query q = next(Query.class);
+      act(() -> actions.send(q.id(), ENGINE, 0));
+      Connection connection = engine.accept();
+      assertTrue(connection.request().startsWith("ASK"));
+      CountDownLatch go = hold();
+      NodeStandIn.daemon(() -> {
+        try {
+          connection.say("nonsense\r\n" + "x".repeat(500_000));
+        } catch (IOException e) {
+          // as far as it is read
+        }
+      });
+      act(() -> actions.cancel(q.id(), 0));
+      go.countDown();
+      assertEquals("QUIT " + q.id(), connection.line());
+      assertNull(connection.line(), "and then the end, no reset");
+      assertEquals(Outcome.CANCELLED, next(AttemptEnd.class).outcome());
+    }
+  }
+}
--- a/gateway/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/FrontsTest.java
@@ -116,7 +116,7 @@
 
     @Override
     public void probed(long now, String engine, boolean answered, Report report) {
-      told.add(List.of(engine, answered, report));
+      told.add(report == null ? List.of(engine, answered) : List.of(engine, answered, report));
     }
   }
 
--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -85,16 +86,23 @@
   }
 
   public static String config(InetSocketAddress listen, ChangeLogStandIn changeLog, NodeStandIn... nodes) {
+    return config(listen, changeLog.address(),
+        Arrays.stream(nodes).map(NodeStandIn::address).toArray(InetSocketAddress[]::new));
+  }
+
+  /** A configuration with a change log and engines, numbered from 1, at those addresses. */
+  public static String config(InetSocketAddress listen, InetSocketAddress changeLog,
+      InetSocketAddress... engines) {
     StringBuilder hosts = new StringBuilder();
-    for (int i = 0; i < nodes.length; i++) {
+    for (int i = 0; i < engines.length; i++) {
       hosts.append(i == 0 ? "" : ",").append(String.format("{\"host\":\"s-%08x\",\"dial\":\"%s\","
           + "\"site\":\"here\",\"class\":\"small\",\"block\":0,\"health\":\"in_service\",\"share\":1,"
-          + "\"born_ms\":0}", i + 1, text(nodes[i].address())));
+          + "\"born_ms\":0}", i + 1, text(engines[i])));
     }
     return String.format("{\"name\":\"g1\",\"listen\":\"%s\",\"seed\":\"8c1f30d27a5be964\","
         + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"changelog\":\"%s\",\"known\":"
         + "{\"seq\":1,\"results\":[{\"seq\":1,\"fleet\":{\"seq\":1,\"whole\":true,\"hosts\":[%s]}}]},"
-        + "\"settings\":%s}", text(listen), text(changeLog.address()), hosts, SETTINGS);
+        + "\"settings\":%s}", text(listen), text(changeLog), hosts, SETTINGS);
   }
 
   private static String text(InetSocketAddress address) {
--- a/standin/src/main/java/reachloom/standin/ThriftClient.java
+++ b/standin/src/main/java/reachloom/standin/ThriftClient.java
@@ -64,6 +64,31 @@
     return ThriftWords.reply(frame);
   }
 
+  /** Asks whether the gateway is ready, and goes on in the same bytes with what is no message. */
+  public void checkAndNonsense(int bytes) throws IOException {
+    ByteBuffer call = ThriftWords.check(++seq);
+    byte[] all = new byte[call.limit() + bytes];
+    java.util.Arrays.fill(all, (byte) -1);
+    call.get(all, 0, call.limit());
+    socket.getOutputStream().write(all);
+  }
+
+  /** Whether the other side has ended the connection in order; a reset is an exception. */
+  public boolean ended() throws IOException {
+    return in.read() < 0;
+  }
+
+  /** Sends nothing more, but would still read. */
+  public void halfClose() throws IOException {
+    socket.shutdownOutput();
+  }
+
+  /** Ends the connection by a reset. */
+  public void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   private void send(ByteBuffer out) throws IOException {
     socket.getOutputStream().write(out.array(), 0, out.limit());
   }
--- a/standin/src/main/java/reachloom/standin/ThriftWords.java
+++ b/standin/src/main/java/reachloom/standin/ThriftWords.java
@@ -6,7 +6,7 @@
 
 /** What a client says and hears, as bytes: framed Thrift in its strict binary form. */
 public final class ThriftWords {
-  private static final int MOST_CALL = 4096;
+  private static final int MOST_CALL = 64 * 1024;
   private static final int VERSION = 0x80010000;
 
   private ThriftWords() {
