Gossip carries words about the configuration, and each member's place

Need: what spreads a configuration goes to members of one's own zone first, and rides on gossip's signed datagrams. A section of kind 4 holds words, one of kind 5 the sender's place, news a place behind its known fields; older readers skip all three, and without them the bytes are those of before (test). Gossip hands words to a Rider and sends for it within the cap; place is kept by membership: a member's own packet says it, hearsay fills a gap and moves nobody. The test of skipped fields of news stands on a piece with all fields now, as strict as before.

--- a/decisions/src/main/java/reachloom/gossip/Gossip.java
+++ b/decisions/src/main/java/reachloom/gossip/Gossip.java
@@ -13,16 +13,23 @@
 import reachloom.membership.Membership;
 import reachloom.membership.Message;
 import reachloom.membership.News;
+import reachloom.membership.Meter;
 import reachloom.membership.Outbox;
+import reachloom.membership.Weights;
+import reachloom.revision.Outlet;
+import reachloom.revision.Peer;
+import reachloom.revision.Word;
 
 /**
  * One instance among others: keeps the list of members, tells what it has seen of engines, and makes hearsay
  * of what others tell. Times are nanoseconds of the clock handed in.
  */
-public final class Gossip implements Outbox {
+public final class Gossip implements Outbox, Outlet {
   private static final int REVIEWS = 4; // in a period
   private static final double STEP = 0.1; // a level that has moved by less is not told again
   private static final int MOST_CLAIMS = 32; // in one packet
+  /** Words in one packet: a certificate, the longest names and what always rides find room beside. */
+  private static final int MOST_WORDS = 700; // bytes
 
   private final String name;
   private final long address;
@@ -36,6 +43,8 @@
   private final Map<String, Double> told = new LinkedHashMap<>();
   private List<Belief> beliefs = List.of();
   private long nextReview;
+  private Rider rider;
+  private boolean peersChanged;
   private boolean urgent;
   private long nextTell;
 
@@ -48,7 +57,29 @@
     this.hearsay = hearsay;
     reviewEvery = period / REVIEWS;
     membership = new Membership(name, address, seeds, now, period, cap, new SplittableRandom(seed), this,
-        transport);
+        new Weights() {
+          @Override
+          public int message(String to, Message message) {
+            return transport.message(to, message) + riding();
+          }
+
+          @Override
+          public int news(News news) {
+            return transport.news(news);
+          }
+        });
+  }
+
+  /** Lets something ride on the packets from now on, and sets this instance's place; before it starts. */
+  public void carry(int place, Rider what) {
+    membership.place(place);
+    rider = what;
+    peersChanged = true;
+  }
+
+  /** Bytes of what rides on each packet. */
+  private int riding() {
+    return rider == null ? 0 : transport.riding(membership.place(), rider.always());
   }
 
   public Membership membership() {
@@ -103,6 +134,14 @@
       nextReview = now + reviewEvery;
       review(now);
     }
+    if (rider != null) {
+      if (peersChanged) {
+        peersChanged = false;
+        rider.peers(now, membership.members().stream().filter(m -> m.state().present())
+            .map(m -> new Peer(m.name(), m.address(), m.place())).toList());
+      }
+      rider.tick(now);
+    }
   }
 
   private void review(long now) {
@@ -127,10 +166,16 @@
 
   /** A packet has come whose sender is proved. */
   public void receive(long now, Packet p) {
-    membership.receive(now, p.sender(), p.address(), p.incarnation(), p.message(), p.news());
-    if (membership.member(p.sender()) != null && !p.claims().isEmpty()) {
+    membership.receive(now, p.sender(), p.address(), p.place(), p.incarnation(), p.message(), p.news());
+    if (membership.member(p.sender()) == null) {
+      return;
+    }
+    if (!p.claims().isEmpty()) {
       corroboration.hear(now, p.sender(), p.claims());
     }
+    if (rider != null && !p.words().isEmpty()) {
+      rider.hear(now, new Peer(p.sender(), p.address(), p.place()), p.words());
+    }
   }
 
   /** Says good-bye. */
@@ -142,7 +187,7 @@
 
   @Override
   public int send(long now, String to, long at, Message message, List<News> news, int most) {
-    int size = transport.message(to, message);
+    int size = transport.message(to, message) + riding();
     for (News n : news) {
       size += transport.news(n);
     }
@@ -160,16 +205,48 @@
         size += weight;
       }
     }
-    transport.send(to, at,
-        new Packet(name, address, membership.incarnation(), message, List.copyOf(news), claims));
+    send(to, at, message, List.copyOf(news), claims, rider == null ? List.of() : rider.always());
     return size;
   }
 
+  private void send(String to, long at, Message message, List<News> news, List<Claim> claims,
+      List<Word> words) {
+    transport.send(to, at, new Packet(name, address, membership.place(), membership.incarnation(), message,
+        news, claims, words));
+  }
+
+  // ---- What rides ----
+
+  @Override
+  public int weight(Word word) {
+    return transport.word(word);
+  }
+
+  @Override
+  public int mostPacket() {
+    return MOST_WORDS;
+  }
+
+  @Override
+  public boolean tell(long now, String to, long at, List<Word> words) {
+    Message.Tell tell = new Message.Tell();
+    List<Word> all = new ArrayList<>(rider.always());
+    all.addAll(words);
+    int size = transport.message(to, tell) + transport.riding(membership.place(), all);
+    if (!membership.meter().room(now, Meter.Use.REVISION, size)) {
+      return false;
+    }
+    membership.meter().sent(now, size, 0);
+    send(to, at, tell, List.of(), List.of(), all);
+    return true;
+  }
+
   /** A claim takes no less; only so that no more are looked at than may fit. */
   private static final int LEAST_CLAIM = 24;
 
   @Override
   public void changed(long now, News member) {
+    peersChanged = true;
     if (!member.state().present()) {
       corroboration.gone(member.member());
     }
--- /dev/null
+++ b/decisions/src/main/java/reachloom/gossip/Rider.java
@@ -0,0 +1,21 @@
+package reachloom.gossip;
+
+import java.util.Collection;
+import java.util.List;
+import reachloom.revision.Peer;
+import reachloom.revision.Word;
+
+/** What else rides on gossip's packets: the configuration's revisions. Called from one thread. */
+public interface Rider {
+  /** What rides on each packet. */
+  List<Word> always();
+
+  /** A packet of a member has come with these words. */
+  void hear(long now, Peer sender, List<Word> words);
+
+  /** The members that are believed to be there have changed; this instance is not among them. */
+  void peers(long now, Collection<Peer> present);
+
+  /** Looks at the clock. */
+  void tick(long now);
+}
--- a/decisions/src/main/java/reachloom/membership/Marks.java
+++ b/decisions/src/main/java/reachloom/membership/Marks.java
@@ -9,14 +9,16 @@
  */
 public final class Marks {
   private static final int MASK = 0xffff;
+  private static final int PLACE_AT = 48; // above an address
 
   private Marks() {
   }
 
-  /** The mark of a member's name, incarnation and address. */
+  /** The mark of a member's name, incarnation, address and place. */
   public static int of(int salt, Member m) {
     CRC32C sum = new CRC32C();
-    long whole = m.incarnation() * 31 + m.address() + ((long) salt << Integer.SIZE);
+    long whole = m.incarnation() * 31 + m.address() + ((long) salt << Integer.SIZE)
+        + ((long) m.place() << PLACE_AT);
     for (int i = 0; i < Long.BYTES; i++) {
       sum.update((int) (whole >>> i * Byte.SIZE));
     }
--- a/decisions/src/main/java/reachloom/membership/Member.java
+++ b/decisions/src/main/java/reachloom/membership/Member.java
@@ -11,6 +11,7 @@
   /** When a packet of its own was last heard; 0 for one known by hearsay alone. */
   long heardAt;
   String accuser = "";
+  int place;
   Suspicion suspicion;
 
   Member(String name, long address, long incarnation, State state, long since) {
@@ -43,7 +44,12 @@
     return since;
   }
 
+  /** Region and zone, 0 where they are not known. */
+  public int place() {
+    return place;
+  }
+
   News news() {
-    return new News(name, address, incarnation, state, accuser);
+    return new News(name, address, incarnation, state, accuser, place);
   }
 }
--- a/decisions/src/main/java/reachloom/membership/Membership.java
+++ b/decisions/src/main/java/reachloom/membership/Membership.java
@@ -81,6 +81,7 @@
   private final List<Member> order = new ArrayList<>();
   private final Map<Long, Relayed> relayed = new LinkedHashMap<>();
   private List<Long> seeds;
+  private int place;
   private long incarnation;
   private long seq;
   private int next;
@@ -169,6 +170,16 @@
     seeds = List.copyOf(now);
   }
 
+  /** Sets this instance's own region and zone, before it starts; 0 where they are not known. */
+  public void place(int own) {
+    place = own;
+  }
+
+  /** This instance's region and zone. */
+  public int place() {
+    return place;
+  }
+
   // ---- Time ----
 
   /** Looks at the clock: what is due goes out, what has run out is judged. */
@@ -427,13 +438,22 @@
 
   // ---- What comes ----
 
-  /** A packet has come whose sender is proved; {@code from} is where that sender says it listens. */
+  /** The same of a sender that does not say its place. */
   public void receive(long now, String sender, long from, long itsIncarnation, Message message,
       List<News> news) {
+    receive(now, sender, from, 0, itsIncarnation, message, news);
+  }
+
+  /**
+   * A packet has come whose sender is proved; {@code from} is where that sender says it listens, {@code of}
+   * its place.
+   */
+  public void receive(long now, String sender, long from, int of, long itsIncarnation, Message message,
+      List<News> news) {
     if (sender.equals(name) || leaving) {
       return;
     }
-    Member m = direct(now, sender, from, itsIncarnation);
+    Member m = direct(now, sender, from, of, itsIncarnation);
     if (m == null) {
       return; // the table is full of others
     }
@@ -523,16 +543,19 @@
   }
 
   /** A packet of its own shows a member alive, where it listens, and in which incarnation. */
-  private Member direct(long now, String sender, long from, long itsIncarnation) {
+  private Member direct(long now, String sender, long from, int of, long itsIncarnation) {
     Member m = members.get(sender);
     if (m == null) {
-      m = join(now, sender, from, itsIncarnation, true);
+      m = join(now, new News(sender, from, itsIncarnation, State.ALIVE, "", of), true);
       if (m == null) {
         return null;
       }
     } else if (itsIncarnation > m.incarnation) {
       m.address = from;
+      m.place = of;
       turn(now, m, State.ALIVE, itsIncarnation);
+    } else if (of != 0 && m.place == 0 && itsIncarnation == m.incarnation) {
+      placed(now, m, of);
     } else if (m.heardAt == 0 && itsIncarnation == m.incarnation && m.address != from) {
       m.address = from; // hearsay had it elsewhere
       rumours.add(m.news());
@@ -541,12 +564,20 @@
     return m;
   }
 
-  private Member join(long now, String who, long at, long itsIncarnation, boolean isNews) {
+  /** Where a member is has become known: others may lack it as well. */
+  private void placed(long now, Member m, int of) {
+    m.place = of;
+    rumours.add(m.news());
+    out.changed(now, m.news());
+  }
+
+  private Member join(long now, News n, boolean isNews) {
     if (members.size() >= MOST_MEMBERS && !evict()) {
       return null;
     }
-    Member m = new Member(who, at, itsIncarnation, State.ALIVE, now);
-    members.put(who, m);
+    Member m = new Member(n.member(), n.address(), n.incarnation(), State.ALIVE, now);
+    m.place = n.place();
+    members.put(n.member(), m);
     present++;
     order.add(next + random.nextInt(order.size() - next + 1), m);
     if (isNews) {
@@ -579,7 +610,7 @@
     Member m = members.get(n.member());
     if (m == null) {
       if (n.state() == State.ALIVE) {
-        Member joined = join(now, n.member(), n.address(), n.incarnation(), isNews);
+        Member joined = join(now, n, isNews);
         if (joined != null && isNews && random.nextDouble() * size() < GREETERS) {
           welcome(now, joined); // the seeds may have no room left for it
         }
@@ -587,7 +618,10 @@
     } else if (n.state() == State.ALIVE) {
       if (n.incarnation() > m.incarnation) {
         m.address = n.address();
+        m.place = n.place() == 0 ? m.place : n.place();
         turn(now, m, State.ALIVE, n.incarnation());
+      } else if (m.place == 0 && n.place() != 0) { // hearsay fills a gap, it moves nobody
+        placed(now, m, n.place());
       }
     } else if (n.incarnation() >= m.incarnation && m.state.present()) {
       m.incarnation = n.incarnation();
@@ -659,7 +693,7 @@
   }
 
   private News own() {
-    return new News(name, address, incarnation, State.ALIVE, "");
+    return new News(name, address, incarnation, State.ALIVE, "", place);
   }
 
   /** Sends where the cap leaves room; one that is suspected, or given up, is told so first: it may object. */
--- a/decisions/src/main/java/reachloom/membership/Meter.java
+++ b/decisions/src/main/java/reachloom/membership/Meter.java
@@ -15,6 +15,8 @@
     WELCOME(0.95),
     /** To answer those who want to find out. */
     ANSWER(0.9),
+    /** To pass on the configuration: it may fill what the failure detector leaves. */
+    REVISION(0.85),
     /** To bring tables together, and to say hello. */
     SYNC(0.75);
 
--- a/decisions/src/test/java/reachloom/membership/MembershipTest.java
+++ b/decisions/src/test/java/reachloom/membership/MembershipTest.java
@@ -255,6 +255,21 @@
     assertEquals(address("a"), me.member("a").address());
   }
 
+  @Test
+  void aPlaceIsHeardOfAndItsOwnPacketsGoBeforeHearsay() {
+    join("b");
+    hear("b", new Message.Ack(-1), new News("a", address("a"), START / SECOND, State.ALIVE, "", 0x0102));
+    assertEquals(0x0102, me.member("a").place());
+    hear("liar", new Message.Ack(-1), new News("a", address("a"), START / SECOND, State.ALIVE, "", 0x0309));
+    assertEquals(0x0102, me.member("a").place(), "hearsay fills a gap and moves nobody");
+    assertEquals(0, me.member("b").place());
+    me.receive(now, "b", address("b"), 0x0201, START / SECOND, new Message.Ack(-1), List.of());
+    assertEquals(0x0201, me.member("b").place());
+    assertEquals("b", changes.get(changes.size() - 1).member(), "it is told like any change");
+    me.receive(now, "a", address("a"), 0x0201, START / SECOND + 1, new Message.Ack(-1), List.of());
+    assertEquals(0x0201, me.member("a").place(), "a new life may be elsewhere");
+  }
+
   @Test
   void aRestartUnderAnOldIncarnationIsToldSoAndComesBack() {
     join("a", "b");
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -27,6 +27,7 @@
 import reachloom.gossip.wire.GossipCodec;
 import reachloom.membership.Message;
 import reachloom.membership.News;
+import reachloom.revision.Word;
 
 /**
  * This gateway among the others: ties the pure modules to the loop and the port. All but the port's own
@@ -188,6 +189,16 @@
     return GossipCodec.size(claim);
   }
 
+  @Override
+  public int word(Word word) {
+    return GossipCodec.size(word);
+  }
+
+  @Override
+  public int riding(int place, List<Word> words) {
+    return GossipCodec.riding(place, words);
+  }
+
   @Override
   public void send(String to, long address, Packet packet) {
     byte[] certificate = knowsUs.contains(to) ? null : identity.certificate();
--- a/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
+++ b/gateway/src/main/java/reachloom/gossip/wire/GossipCodec.java
@@ -13,6 +13,7 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 import reachloom.membership.State;
+import reachloom.revision.Word;
 
 /**
  * Gossip as bytes, big-endian, at most {@link #MOST} of them:
@@ -20,7 +21,8 @@
  * <pre>
  * datagram = "RG" version:1 flags:1 cluster:4 sender:text seq:8 time:8 address:6 incarnation:8 knows:4
  *            [certificate: length:2 bytes]  section*  signature:64
- * section  = kind:1 length:2 bytes          kind 1 message, 2 news, 3 claims; others are skipped
+ * section  = kind:1 length:2 bytes          kind 1 message, 2 news, 3 claims, 4 words ({@link WordCodec}),
+ *                                           5 the sender's place; others are skipped. 4 and 5 only where used
  * news, claims = (length:1 bytes)*          what follows the known fields of one is skipped
  * text     = length:1 UTF-8
  * </pre>
@@ -44,6 +46,8 @@
   private static final byte MESSAGE = 1;
   private static final byte NEWS = 2;
   private static final byte CLAIMS = 3;
+  private static final byte WORDS = 4;
+  private static final byte PLACE = 5;
   private static final int MOST_NAME = 32;
   private static final int MOST_COUNT = 0xffff;
   private static final long MILLISECOND = 1_000_000; // nanoseconds
@@ -112,7 +116,7 @@
 
   /** One piece of news. */
   public static int size(News n) {
-    return 1 + text(n.member()) + 6 + 8 + 1 + text(n.by());
+    return 1 + text(n.member()) + 6 + 8 + 1 + text(n.by()) + (n.place() == 0 ? 0 : Short.BYTES);
   }
 
   /** One claim. */
@@ -120,7 +124,18 @@
     return 1 + text(c.engine()) + 8 + 6 + 4;
   }
 
-  private static int text(String text) {
+  /** One word about the configuration. */
+  public static int size(Word w) {
+    return WordCodec.size(w);
+  }
+
+  /** What a place and words add to a datagram. */
+  public static int riding(int place, List<Word> words) {
+    return (place == 0 ? 0 : SECTION + Short.BYTES)
+        + (words.isEmpty() ? 0 : SECTION + words.stream().mapToInt(WordCodec::size).sum());
+  }
+
+  static int text(String text) {
     return 1 + text.getBytes(StandardCharsets.UTF_8).length;
   }
 
@@ -152,6 +167,16 @@
     at = begin(out, CLAIMS);
     p.claims().forEach(c -> putClaim(out, c));
     end(out, at);
+    if (!p.words().isEmpty()) {
+      at = begin(out, WORDS);
+      p.words().forEach(w -> WordCodec.put(out, w));
+      end(out, at);
+    }
+    if (p.place() != 0) {
+      at = begin(out, PLACE);
+      out.putShort((short) p.place());
+      end(out, at);
+    }
     return Arrays.copyOf(out.array(), out.position());
   }
 
@@ -164,7 +189,7 @@
     out.putShort(from - 2, (short) (out.position() - from));
   }
 
-  private static void put(ByteBuffer out, String text) {
+  static void put(ByteBuffer out, String text) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     out.put((byte) bytes.length).put(bytes);
   }
@@ -210,6 +235,9 @@
     putAddress(out, n.address());
     out.putLong(n.incarnation()).put((byte) n.state().ordinal());
     put(out, n.by());
+    if (n.place() != 0) {
+      out.putShort((short) n.place());
+    }
   }
 
   private static void putClaim(ByteBuffer out, Claim c) {
@@ -268,6 +296,8 @@
       Message message = null;
       List<News> news = new ArrayList<>();
       List<Claim> claims = new ArrayList<>();
+      List<Word> words = new ArrayList<>();
+      int place = 0;
       while (in.hasRemaining()) {
         byte kind = in.get();
         ByteBuffer section = take(in, Short.toUnsignedInt(in.getShort()));
@@ -275,19 +305,22 @@
           case MESSAGE -> message = message(section);
           case NEWS -> news.addAll(news(section));
           case CLAIMS -> claims.addAll(claims(section));
+          case WORDS -> words.addAll(WordCodec.words(section));
+          case PLACE -> place = Short.toUnsignedInt(section.getShort());
           default -> { } // of a later version
         }
       }
       if (message == null) {
         throw new UnreadableException(Refusal.NONSENSE);
       }
-      return new Packet(head.sender(), head.address(), head.incarnation(), message, news, claims);
+      return new Packet(head.sender(), head.address(), place, head.incarnation(), message, news, claims,
+          words);
     } catch (BufferUnderflowException | IllegalArgumentException e) {
       throw new UnreadableException(Refusal.NONSENSE);
     }
   }
 
-  private static ByteBuffer take(ByteBuffer in, int length) {
+  static ByteBuffer take(ByteBuffer in, int length) {
     if (length > in.remaining()) {
       throw new BufferUnderflowException();
     }
@@ -296,9 +329,17 @@
     return part;
   }
 
-  private static String text(ByteBuffer in) {
+  private static String shortText(ByteBuffer in) {
+    if (!in.hasRemaining() || Byte.toUnsignedInt(in.get(in.position())) > MOST_NAME) {
+      throw new BufferUnderflowException();
+    }
+    return text(in);
+  }
+
+  /** A text of up to 255 bytes. */
+  static String text(ByteBuffer in) {
     int length = Byte.toUnsignedInt(in.get());
-    if (length > MOST_NAME) {
+    if (length > in.remaining()) {
       throw new BufferUnderflowException();
     }
     byte[] bytes = new byte[length];
@@ -307,8 +348,8 @@
   }
 
   /** A name goes into tables and log lines: printable ASCII without blanks, or it is no name. */
-  private static String name(ByteBuffer in) {
-    String name = text(in);
+  static String name(ByteBuffer in) {
+    String name = shortText(in);
     if (!name.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
       throw new BufferUnderflowException();
     }
@@ -364,8 +405,9 @@
       long incarnation = one.getLong();
       int state = one.get();
       String by = name(one);
+      int place = one.remaining() < Short.BYTES ? 0 : Short.toUnsignedInt(one.getShort());
       if (state >= 0 && state < states.length && !member.isEmpty() && incarnation >= 0) {
-        read.add(new News(member, at, incarnation, states[state], by));
+        read.add(new News(member, at, incarnation, states[state], by, place));
       }
     }
     return read;
--- a/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
+++ b/gateway/src/test/java/reachloom/gossip/wire/GossipCodecTest.java
@@ -20,6 +20,10 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 import reachloom.membership.State;
+import reachloom.revision.Ballot;
+import reachloom.revision.Revision;
+import reachloom.revision.Vote;
+import reachloom.revision.Word;
 
 /** Gossip's datagrams: what is written is read, what is torn or made up is refused with its reason. */
 class GossipCodecTest {
@@ -32,6 +36,23 @@
       new Message.Part(false, List.of()), new Message.Tell(),
       new Message.Status(3), new Message.StatusPage(3, 4, "member g1\n"), new Message.Leave());
 
+  private static final byte[] CHAIN = new byte[Revision.HASH];
+  private static final Revision REVISION = new Revision(7, CHAIN, CHAIN, 99, 1_700_000_000_000L, "c1");
+  private static final Ballot BALLOT = new Ballot(3, "c2");
+  private static final Vote VOTE = new Vote("c2", new byte[GossipCodec.SIGNATURE]);
+  private static final List<Word> WORDS = List.of(new Word.Have(7, -5, 8),
+      new Word.Notice(REVISION, List.of(VOTE, VOTE, VOTE)), new Word.Want(8, 7, -5, 3),
+      new Word.Piece(8, 0, 1, 2, new byte[] {1, 2, 3}), new Word.Acknowledgement(7, -5, "settings: no"),
+      new Word.Census(0x0203, 7, 58, 57, 1, List.of("g9"), 4_000), new Word.Prepare(BALLOT, 8),
+      new Word.Promise(BALLOT, 8, Ballot.NONE, null), new Word.Promise(BALLOT, 8, BALLOT, REVISION),
+      new Word.Propose(BALLOT, REVISION), new Word.Accepted(BALLOT, 8, VOTE),
+      new Word.Rejected(BALLOT, new Ballot(4, "c1")));
+
+  /** A packet that bears that word, and a place. */
+  private static Packet packet(Word w) {
+    return new Packet("g1", ADDRESS, 0x0102, 1, new Message.Tell(), List.of(), List.of(), List.of(w));
+  }
+
   private static Packet packet(Message m) {
     return new Packet("g1", ADDRESS, 1_700_000_001L, m, List.of(NEWS, new News("g9", 0, 0, State.ALIVE, "")),
         List.of(CLAIM));
@@ -66,10 +87,57 @@
         bytes.length + GossipCodec.UDP);
   }
 
+  @Test
+  void wordsAreReadAsWrittenAndWeighWhatWasSaid() throws Exception {
+    for (Word w : WORDS) {
+      byte[] bytes = whole(packet(w), null, false);
+      Packet read = GossipCodec.read(bytes, GossipCodec.head(bytes));
+      assertEquals(0x0102, read.place());
+      assertEquals(w.getClass(), read.words().get(0).getClass());
+      assertArrayEquals(bytes, whole(read, null, false), w.toString());
+      assertEquals(GossipCodec.size("g1", new Message.Tell(), 0) + GossipCodec.riding(0x0102, List.of(w)),
+          bytes.length + GossipCodec.UDP, w.toString());
+    }
+  }
+
+  @Test
+  void aWordOfALaterKindIsSkippedAndOneWithImpossibleFiguresIsNonsense() throws Exception {
+    byte[] bytes = whole(packet(new Word.Have(1, 2, 3)), null, false);
+    int kind = bytes.length - GossipCodec.SIGNATURE - 5 - 3 * Long.BYTES - 1; // before a place's section
+    byte[] later = bytes.clone();
+    later[kind] = 99;
+    assertEquals(List.of(), GossipCodec.read(later, GossipCodec.head(later)).words());
+    byte[] negative = bytes.clone();
+    negative[kind + 1] = -1;
+    assertEquals(Refusal.NONSENSE, assertThrows(UnreadableException.class,
+        () -> GossipCodec.read(negative, GossipCodec.head(negative))).why());
+    byte[] large = whole(packet(new Word.Propose(BALLOT,
+        new Revision(1, CHAIN, CHAIN, Revision.MOST_DOCUMENT + 1, 0, "c1"))), null, false);
+    assertEquals(Refusal.NONSENSE, assertThrows(UnreadableException.class,
+        () -> GossipCodec.read(large, GossipCodec.head(large))).why());
+  }
+
+  @Test
+  void withoutPlaceAndWordsTheBytesAreThoseOfBefore() {
+    Packet p = packet(new Message.Tell());
+    byte[] bytes = whole(p, null, false);
+    int claims = bytes.length - GossipCodec.SIGNATURE - GossipCodec.size(CLAIM) - 3;
+    assertEquals(3, bytes[claims], "the section of claims is the last one");
+    assertEquals(1 + 3 + 6 + 8 + 1 + 3, GossipCodec.size(NEWS)); // length, name, address, number, state, name
+    assertEquals(0, GossipCodec.riding(0, List.of()));
+  }
+
+  private static List<byte[]> samples() {
+    List<byte[]> all = new ArrayList<>();
+    MESSAGES.forEach(m -> all.add(whole(packet(m), null, true)));
+    MESSAGES.forEach(m -> all.add(whole(packet(m), new byte[200], true)));
+    WORDS.forEach(w -> all.add(whole(packet(w), null, true)));
+    return all;
+  }
+
   @Test
   void tornAtEachByteItIsRefusedNeverThrownAbout() {
-    for (Message m : MESSAGES) {
-      byte[] bytes = whole(packet(m), new byte[200], true);
+    for (byte[] bytes : samples()) {
       for (int length = 0; length < bytes.length; length++) {
         byte[] torn = Arrays.copyOf(bytes, length);
         try {
@@ -85,9 +153,9 @@
   void randomBytesAndFlippedBitsAreRefusedOrReadAsSomethingBounded() {
     SplittableRandom random = new SplittableRandom(3);
     int refused = 0;
+    List<byte[]> samples = samples();
     for (int i = 0; i < 50_000; i++) {
-      Message m = MESSAGES.get(i % MESSAGES.size());
-      byte[] bytes = whole(packet(m), i % 3 == 0 ? new byte[200] : null, true);
+      byte[] bytes = samples.get(i % samples.size()).clone();
       for (int k = 0; k <= random.nextInt(4); k++) {
         bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
       }
@@ -128,12 +196,13 @@
 
   @Test
   void fieldsBehindThoseKnownOfAPieceOfNewsAreSkipped() throws Exception {
-    Packet p = new Packet("g1", ADDRESS, 1, new Message.Tell(), List.of(NEWS), List.of());
+    News all = new News("g2", ADDRESS + 1, 1_700_000_000L, State.SUSPECT, "g3", 0x0102);
+    Packet p = new Packet("g1", ADDRESS, 1, new Message.Tell(), List.of(all), List.of());
     byte[] bytes = whole(p, null, false);
-    int at = bytes.length - GossipCodec.SIGNATURE - 3 - GossipCodec.size(NEWS); // its length byte
+    int at = bytes.length - GossipCodec.SIGNATURE - 3 - GossipCodec.size(all); // its length byte
     List<Byte> longer = new ArrayList<>();
     for (int i = 0; i < bytes.length; i++) {
-      if (i == at + GossipCodec.size(NEWS)) {
+      if (i == at + GossipCodec.size(all)) {
         longer.addAll(List.of((byte) 1, (byte) 2));
       }
       longer.add(bytes[i]);
@@ -143,7 +212,7 @@
       changed[i] = longer.get(i);
     }
     changed[at] += 2;
-    ByteBuffer.wrap(changed).putShort(at - 2, (short) (GossipCodec.size(NEWS) + 2));
+    ByteBuffer.wrap(changed).putShort(at - 2, (short) (GossipCodec.size(all) + 2));
     assertEquals(p, GossipCodec.read(changed, GossipCodec.head(changed)));
   }
 }
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -21,6 +21,7 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 import reachloom.membership.State;
+import reachloom.revision.Word;
 import reachloom.standin.model.Agenda;
 
 /**
@@ -86,6 +87,16 @@
       return GossipCodec.size(claim);
     }
 
+    @Override
+    public int word(Word word) {
+      return GossipCodec.size(word);
+    }
+
+    @Override
+    public int riding(int place, List<Word> words) {
+      return GossipCodec.riding(place, words);
+    }
+
     @Override
     public void send(String to, long at, Packet packet) {
       Packet told = lie.apply(packet);
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualRun.java
@@ -102,8 +102,8 @@
       int target = plan.engines - 1 - (plan.collude ? 0 : i % Math.max(1, plan.engines - plan.sick));
       Node liar = c.nodes.get(plan.instances - 1 - i);
       liar.liar = true;
-      liar.lie = p -> new Packet(p.sender(), p.address(), p.incarnation(), p.message(), p.news(),
-          claims(engines, engines.get(target), c.agenda.now()));
+      liar.lie = p -> new Packet(p.sender(), p.address(), p.place(), p.incarnation(), p.message(), p.news(),
+          claims(engines, engines.get(target), c.agenda.now()), p.words());
     }
   }
 
