Dissemination of revisions: the signatures that the council and the adapter build on

The member's side of the configuration log, signatures and their Javadoc only; Want's baseMark names the wanted revision where no base is given, as two issuers may hold drafts with one number. Not run: there is nothing yet that could be.

--- a/decisions/src/main/java/reachloom/revision/Word.java
+++ b/decisions/src/main/java/reachloom/revision/Word.java
@@ -19,7 +19,9 @@
 
   /**
    * Send me that revision ({@code number} 0: only the newest notice). {@code base} is the revision in force
-   * at the sender, whose document a delta may start from, 0 for none; pieces from {@code from} on are wanted.
+   * at the sender, whose document a delta may start from; pieces from {@code from} on are wanted. Where it is
+   * 0, the whole is wanted, and {@code baseMark} is the mark of the wanted revision itself: two issuers may
+   * have drafts with one number.
    */
   record Want(long number, long base, long baseMark, int from) implements Word {
   }
