A revision of the configuration is laid over a gateway's own file and put in force

Need: what is issued for a whole installation has to take the way of SIGHUP in each gateway. Votes are proved by the certificates that the settings name.

--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -37,7 +37,7 @@
       SplittableRandom random, Outlet outlet, Host host, long now) {
   }
 
-  /** Who is present now, this member not among them; to be called when it has changed, once a tick at most. */
+  /** Who is present now, this member not among them; to be called when it has changed, once a tick. */
   public void peers(Collection<Peer> present) {
   }
 
--- a/gateway/src/main/java/reachloom/config/GatewayConfig.java
+++ b/gateway/src/main/java/reachloom/config/GatewayConfig.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import reachloom.Decisions.EngineInfo;
@@ -69,15 +70,26 @@
 
   /** Reads the file that the environment names, with name and address from there too where it gives them. */
   public static GatewayConfig fromEnvironment(Map<String, String> environment) throws ConfigException {
+    return fromEnvironment(environment, UnaryOperator.identity());
+  }
+
+  /** The same with what is laid over the file's content before it is looked at. */
+  public static GatewayConfig fromEnvironment(Map<String, String> environment, UnaryOperator<JsonNode> over)
+      throws ConfigException {
     String file = environment.get("LB_CONFIG");
     if (file == null || file.isBlank()) {
       throw new ConfigException("LB_CONFIG: the environment does not name the configuration file");
     }
-    return fromFile(Path.of(file), environment);
+    return fromFile(Path.of(file), environment, over);
   }
 
   /** Reads and checks a configuration file. */
   public static GatewayConfig fromFile(Path file, Map<String, String> environment) throws ConfigException {
+    return fromFile(file, environment, UnaryOperator.identity());
+  }
+
+  private static GatewayConfig fromFile(Path file, Map<String, String> environment,
+      UnaryOperator<JsonNode> over) throws ConfigException {
     byte[] text;
     try {
       text = Files.readAllBytes(file);
@@ -85,7 +97,7 @@
       throw new ConfigException(file + ": cannot be read (" + e.getClass().getSimpleName() + ")");
     }
     try {
-      return parse(new ObjectMapper().readTree(text), environment);
+      return parse(over.apply(new ObjectMapper().readTree(text)), environment);
     } catch (JsonProcessingException e) {
       throw new ConfigException(file + ": is not JSON: " + e.getOriginalMessage());
     } catch (IOException e) {
--- a/gateway/src/main/java/reachloom/config/LocalSettings.java
+++ b/gateway/src/main/java/reachloom/config/LocalSettings.java
@@ -41,6 +41,7 @@
     difference(keys, "gossip listen", old.listen(), now.listen());
     difference(keys, "gossip periodMs", old.period(), now.period());
     difference(keys, "gossip bytesPerSecond", old.bytesPerSecond(), now.bytesPerSecond());
+    difference(keys, "gossip configuration", old.configuration(), now.configuration());
     return keys;
   }
 
--- a/gateway/src/main/java/reachloom/config/SettingsFile.java
+++ b/gateway/src/main/java/reachloom/config/SettingsFile.java
@@ -10,9 +10,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.ParserConfigurationException;
 import javax.xml.parsers.SAXParser;
@@ -24,6 +26,7 @@
 import org.xml.sax.SAXException;
 import org.xml.sax.SAXParseException;
 import org.xml.sax.helpers.DefaultHandler;
+import reachloom.config.ConfigurationSettings.Issuer;
 
 /**
  * Reads the settings file: XML checked against {@code reachloom.xsd}, which also gives the defaults. Document
@@ -159,7 +162,27 @@
         Integer.parseInt(e.values.get("bytesPerSecond")),
         Long.parseLong(e.values.get("periodMs")) * MILLISECOND, path(identity, "key"),
         path(identity, "certificate"), List.copyOf(authorities),
-        revoked.isEmpty() ? null : path(revoked.get(0), "file"), List.copyOf(seeds));
+        revoked.isEmpty() ? null : path(revoked.get(0), "file"), List.copyOf(seeds), configuration(e));
+  }
+
+  private Optional<ConfigurationSettings> configuration(Element gossip) throws ConfigException {
+    List<Element> found = gossip.all("configuration");
+    if (found.isEmpty()) {
+      return Optional.empty();
+    }
+    Element e = found.get(0);
+    Set<String> names = new LinkedHashSet<>();
+    List<Issuer> issuers = new ArrayList<>();
+    for (Element i : e.all("issuer")) {
+      if (!names.add(i.values.get("name"))) {
+        throw new ConfigException(file + ":" + i.line + ": issuer: name: '" + i.values.get("name")
+            + "' stands here twice");
+      }
+      issuers.add(new Issuer(i.values.get("name"), address(i, "address"), path(i, "certificate")));
+    }
+    int region = Integer.parseInt(e.values.get("region"));
+    int zone = Integer.parseInt(e.values.get("zone"));
+    return Optional.of(new ConfigurationSettings(region << Byte.SIZE | zone, List.copyOf(issuers)));
   }
 
   private Path path(Element e, String key) {
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -6,8 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -47,8 +45,7 @@
 
   private final GatewayConfig config;
   private final Map<String, String> environment;
-  private final String settingsFile;
-  private LocalSettings local;
+  private final Configuration configuration;
   private final Loop loop = new Loop();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final CountDownLatch open = new CountDownLatch(1);
@@ -71,18 +68,18 @@
       throws ConfigException {
     this.config = config;
     this.environment = environment;
-    this.settingsFile = settingsFile;
-    local = LocalSettings.read(settingsFile, environment);
+    configuration = new Configuration(config, environment, settingsFile, this::takeOver);
   }
 
   /** Serves until SIGTERM; gives the exit status. */
   public int run() throws InterruptedException {
     gateway = new Gateway(config, loop, Choice::new);
-    if (local.gossip().isPresent() && !joinOthers(local.gossip().get())) {
+    GossipSettings others = configuration.local().gossip().orElse(null);
+    if (others != null && !joinOthers(others)) {
       return BAD_CONFIGURATION;
     }
     // Without a handler the virtual machine ends on SIGHUP; each signal comes on a thread of its own.
-    if (Signal.handle(new Signal("HUP"), s -> reload()) == SignalHandler.SIG_IGN) {
+    if (Signal.handle(new Signal("HUP"), s -> configuration.reload()) == SignalHandler.SIG_IGN) {
       lookAtTheFile();
     }
     Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "stop"));
@@ -119,7 +116,8 @@
   /** Takes up gossip with other instances; false where the settings can't be used. */
   private boolean joinOthers(GossipSettings settings) {
     try {
-      gossip = new GossipNode(loop, settings, Identity.read(settings), config.seed(), gateway::hearsay);
+      gossip = new GossipNode(loop, settings, Identity.read(settings), config.seed(), gateway::hearsay,
+          configuration::put);
       gateway.observe(gossip);
       loop.post(0, gossip::start);
       return true;
@@ -167,7 +165,7 @@
           String now = state(Path.of(file));
           if (!now.equals(last)) {
             last = now;
-            reload();
+            configuration.reload();
           }
         }
       } catch (InterruptedException e) {
@@ -188,29 +186,8 @@
     }
   }
 
-  /** Reads the configuration again, off the loop; one that can't be used leaves the old one in force. */
-  private synchronized void reload() {
-    GatewayConfig next;
-    LocalSettings nextLocal;
-    try {
-      next = GatewayConfig.fromEnvironment(environment);
-      nextLocal = LocalSettings.read(settingsFile, environment);
-    } catch (ConfigException | RuntimeException e) { // a file in any state must not end the gateway
-      LOG.log(Level.WARNING, "the configuration stays as it is: {0}", e.getMessage());
-      return;
-    }
-    List<String> waiting = new ArrayList<>(config.fixed(next));
-    waiting.addAll(local.fixed(nextLocal));
-    for (String key : waiting) {
-      LOG.log(Level.WARNING, "{0}: has changed, which takes effect at the next start only", key);
-    }
-    LOG.log(Level.INFO, "the configuration is read again: changelog {0}, known up to event {1}",
-        next.changeLog(), Long.toString(next.lastEvent()));
-    List<String> taken = local.taken(nextLocal);
-    if (!taken.isEmpty()) {
-      LOG.log(Level.INFO, "the settings are read again: {0} in force from now on", String.join(", ", taken));
-    }
-    local = nextLocal;
+  /** A configuration, with the settings of the installation, is in force from now on. */
+  private void takeOver(GatewayConfig next, LocalSettings nextLocal) {
     loop.post(0, () -> {
       gateway.reload(next);
       if (gossip != null) {
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -48,13 +48,25 @@
   private final Set<String> knowsUs = new HashSet<>();
   private final Set<String> engines = new LinkedHashSet<>();
   private Identity identity;
+  /** Null where the settings give the instance no part in spreading the configuration. */
+  private Revisions revisions;
   private long seq;
   private long sent;
   private boolean over;
 
-  /** Opens the port; {@code hearsay} hears, on the loop, of engines that others speak against. */
+  /** An instance that hears of revisions, where the settings say so, but puts none in force. */
   public GossipNode(Loop loop, GossipSettings settings, Identity identity, long seed,
-      BiConsumer<String, Double> hearsay) throws IOException {
+      BiConsumer<String, Double> hearsay) throws IOException, ConfigException {
+    this(loop, settings, identity, seed, hearsay, (number, document) -> "");
+  }
+
+  /**
+   * Opens the port; {@code hearsay} hears, on the loop, of engines that others speak against, {@code
+   * installer} puts revisions of the configuration in force.
+   */
+  public GossipNode(Loop loop, GossipSettings settings, Identity identity, long seed,
+      BiConsumer<String, Double> hearsay, Revisions.Installer installer)
+      throws IOException, ConfigException {
     this.loop = loop;
     this.settings = settings;
     this.identity = identity;
@@ -62,6 +74,10 @@
     seq = loop.now(); // above all that an earlier life has used
     gossip = new Gossip(identity.name(), GossipPort.number(settings.listen()), seeds(settings), loop.now(),
         settings.period(), settings.bytesPerSecond(), seed, this, hearsay);
+    if (settings.configuration().isPresent()) {
+      revisions = new Revisions(loop, identity.name(), settings, identity, seed, gossip, installer);
+      gossip.carry(settings.configuration().get().place(), revisions);
+    }
     doorway = new Doorway(settings.cluster(), identity, settings.period());
     port = new GossipPort(settings.listen(), doorway, identity, loop::now,
         e -> loop.post(GossipCodec.MOST, () -> entered(e)));
@@ -97,6 +113,9 @@
             identity.name());
         return;
       }
+      if (revisions != null && next.configuration().isPresent()) {
+        revisions.reload(next, read);
+      }
       identity = read;
       knowsUs.clear(); // they hold the certificate before
       doorway.identity(read);
@@ -120,6 +139,11 @@
     return gossip;
   }
 
+  /** Revisions of the configuration; null where they are off. */
+  public Revisions revisions() {
+    return revisions;
+  }
+
   // ---- What the gateway sees ----
 
   @Override
@@ -249,6 +273,9 @@
     lines.add("bytes sent " + sent + " cap " + settings.bytesPerSecond() + " a second, datagrams dropped "
         + port.dropped());
     lines.add("refused " + doorway.refused());
+    if (revisions != null) {
+      lines.addAll(revisions.dissemination().lines(now));
+    }
     membership.members().forEach(m -> lines.add("member " + m.name() + " "
         + GossipPort.address(m.address()).toString().substring(1) + " " + m.state() + " incarnation "
         + m.incarnation() + " for " + (now - m.since()) / (1_000 * MILLISECOND) + " s standing "
--- /dev/null
+++ b/gateway/src/main/java/reachloom/gossip/net/Revisions.java
@@ -0,0 +1,121 @@
+package reachloom.gossip.net;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import reachloom.config.ConfigException;
+import reachloom.config.ConfigurationSettings;
+import reachloom.config.GossipSettings;
+import reachloom.gateway.Loop;
+import reachloom.gossip.Rider;
+import reachloom.revision.Dissemination;
+import reachloom.revision.Outlet;
+import reachloom.revision.Peer;
+import reachloom.revision.Revision;
+import reachloom.revision.Seal;
+import reachloom.revision.Word;
+
+/**
+ * Revisions of the installation's configuration at this instance: ties {@link Dissemination} to gossip and to
+ * whoever puts a document in force. All of it runs on the loop, but for putting in force, which has a thread
+ * of its own, one document at a time.
+ */
+public final class Revisions implements Rider, Dissemination.Host {
+  private static final Logger LOG = System.getLogger(Revisions.class.getName());
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+
+  /** Puts a document in force, off the loop. */
+  public interface Installer {
+    /** Gives "", or why it can't be put in force; then the one before stays. */
+    String put(long number, byte[] document);
+  }
+
+  private final Loop loop;
+  private final Installer installer;
+  private final Dissemination dissemination;
+  private volatile Seal seal;
+
+  Revisions(Loop loop, String name, GossipSettings settings, Identity identity, long seed, Outlet outlet,
+      Installer installer) throws ConfigException {
+    this.loop = loop;
+    this.installer = installer;
+    ConfigurationSettings c = settings.configuration().orElseThrow();
+    reload(settings, identity);
+    List<Peer> issuers = c.issuers().stream()
+        .map(i -> new Peer(i.name(), GossipPort.number(i.address()), 0)).toList();
+    boolean issuer = issuers.stream().anyMatch(i -> i.name().equals(name));
+    dissemination = new Dissemination(name, c.place(), issuer, issuers, c.quorum(), new Seal() {
+      @Override
+      public byte[] sign(byte[] chain) {
+        return seal.sign(chain);
+      }
+
+      @Override
+      public boolean proves(String of, byte[] chain, byte[] signature) {
+        return seal.proves(of, chain, signature);
+      }
+    }, new SplittableRandom(seed), outlet, this, loop.now());
+  }
+
+  /** Reads the issuers' certificates anew. */
+  void reload(GossipSettings settings, Identity identity) throws ConfigException {
+    seal = IssuersSeal.read(settings.configuration().orElseThrow(), identity, loop.now() / MILLISECOND);
+  }
+
+  /** The member's part; for the loop's thread. */
+  public Dissemination dissemination() {
+    return dissemination;
+  }
+
+  /** What signs and proves votes, whatever certificates are read anew. */
+  public Seal seal() {
+    return seal;
+  }
+
+  // ---- What rides on gossip ----
+
+  @Override
+  public List<Word> always() {
+    return List.of(dissemination.have());
+  }
+
+  @Override
+  public void hear(long now, Peer sender, List<Word> words) {
+    dissemination.hear(now, sender, words);
+  }
+
+  @Override
+  public void peers(long now, Collection<Peer> present) {
+    dissemination.peers(present);
+  }
+
+  @Override
+  public void tick(long now) {
+    dissemination.tick(now);
+  }
+
+  // ---- What comes of it ----
+
+  @Override
+  public void apply(long now, Revision revision, byte[] document) {
+    Thread t = new Thread(() -> {
+      String refusal = installer.put(revision.number(), document);
+      loop.post(0, () -> {
+        if (refusal.isEmpty()) {
+          dissemination.inForce(loop.now(), revision.number());
+        } else {
+          dissemination.refused(loop.now(), revision.number(), refusal);
+        }
+      });
+    }, "revision");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  @Override
+  public void alarm(long now, String what) {
+    LOG.log(Level.ERROR, "revisions: {0}", what);
+  }
+}
--- a/gateway/src/test/java/reachloom/config/SettingsFileTest.java
+++ b/gateway/src/test/java/reachloom/config/SettingsFileTest.java
@@ -9,6 +9,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -59,6 +61,36 @@
         .orElseThrow());
   }
 
+  private static final String CONFIGURATION = """
+        <configuration region="2" zone="7">
+          <issuer name="c1" address="127.0.0.1:7950" certificate="c1.crt"/>
+          <issuer name="c2" address="127.0.0.1:7951" certificate="c2.crt"/>
+          <issuer name="c3" address="127.0.0.1:7952" certificate="c3.crt"/>
+        </configuration>
+      </gossip>""";
+
+  @Test
+  void aPartInTheConfigurationHasAPlaceAndIssuersOfWhichMoreThanHalfProve() throws Exception {
+    ConfigurationSettings c = read(GOSSIP.replace("</gossip>", CONFIGURATION)).gossip().orElseThrow()
+        .configuration().orElseThrow();
+    assertEquals(0x0207, c.place());
+    assertEquals(2, c.quorum());
+    assertEquals(folder.resolve("c3.crt"), c.issuers().get(2).certificate());
+    assertTrue(read(GOSSIP).gossip().orElseThrow().configuration().isEmpty());
+    String again = refused(GOSSIP.replace("</gossip>", CONFIGURATION.replace("\"c3\"", "\"c1\"")));
+    assertEquals(folder.resolve("s.xml") + ":10: issuer: name: 'c1' stands here twice", again);
+    String region = refused(GOSSIP.replace("</gossip>", CONFIGURATION.replace("\"2\"", "\"0\"")));
+    assertTrue(region.startsWith(folder.resolve("s.xml") + ":7: ") && region.contains("region"), region);
+    String none = refused(GOSSIP.replace("</gossip>", "<configuration region=\"1\" zone=\"1\"/></gossip>"));
+    assertTrue(none.contains("issuer"), none);
+    String one = "<issuer name=\"x%d\" address=\"127.0.0.1:1\" certificate=\"x.crt\"/>";
+    String six = IntStream.range(0, 6).mapToObj(one::formatted).collect(Collectors.joining());
+    read(GOSSIP.replace("</gossip>", CONFIGURATION.replace("</conf", six + "</conf"))); // nine are allowed
+    String ten = refused(GOSSIP.replace("</gossip>",
+        CONFIGURATION.replace("</conf", six + one.formatted(9) + "</conf")));
+    assertTrue(ten.contains("issuer"), ten);
+  }
+
   @Test
   void messagesNameFileLineAndElement() {
     String start = folder.resolve("s.xml") + ":3: ";
