Lab: commands, the shared rig and the entry point depend one way

Lab, FleetCommand and GossipCommand imported each other in a circle, and all that a third command would share with fleet stood package-private in lab.fleet.

reachloom.lab.command holds Command, Arguments (how options are read) and Figures (how they are told); Lab registers commands and nothing imports it. reachloom.lab.rig holds plan, script, world, clients, processes, auditor; lab.fleet keeps the fleet command, simulated time and its baselines. What engines are told is called EngineCommand now, since Command is a command of the laboratory. No behaviour changes.

--- a/lab/src/main/java/reachloom/lab/Demo.java
+++ b/lab/src/main/java/reachloom/lab/Demo.java
@@ -6,17 +6,19 @@
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import reachloom.lab.fleet.Plan;
-import reachloom.lab.fleet.ProcessFleet;
-import reachloom.lab.fleet.Script;
-import reachloom.lab.fleet.Trouble;
-import reachloom.lab.fleet.Truth;
+import reachloom.lab.command.Arguments;
+import reachloom.lab.command.Command;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.ProcessFleet;
+import reachloom.lab.rig.Script;
+import reachloom.lab.rig.Trouble;
+import reachloom.lab.rig.Truth;
 
 /**
  * A first run to look at: one gateway, six engine stand-ins, a change log and clients, all on loopback.
  * Half-way one engine takes requests and says nothing more.
  */
-final class Demo implements Lab.Command {
+final class Demo implements Command {
   private static final int ENGINES = 6;
   private static final double LOAD = 0.5;
   private static final int HEAP_MB = 64;
@@ -33,7 +35,7 @@
 
   @Override
   public int run(CommandLine line) throws Exception {
-    int seconds = Lab.number(line, "seconds", 20, 4, 600);
+    int seconds = Arguments.number(line, "seconds", 20, 4, 600);
     Plan plan = new Plan(1, ENGINES, 1, seconds, LOAD, 0, 0, 1, 1);
     Trouble hang = new Trouble(seconds / 2.0, Trouble.Who.ENGINES, Trouble.Kind.HANG, 1.0 / ENGINES, -1,
         -1, 1,
--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -1,10 +1,6 @@
 package reachloom.lab;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -13,6 +9,7 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import reachloom.lab.command.Command;
 import reachloom.lab.fleet.FleetCommand;
 import reachloom.lab.gossip.GossipCommand;
 
@@ -28,17 +25,6 @@
     COMMANDS.put("fleet", new FleetCommand());
   }
 
-  /** One command of the laboratory. */
-  public interface Command {
-    /** What it is for, in one line. */
-    String purpose();
-
-    Options options();
-
-    /** Runs it; gives the exit status. */
-    int run(CommandLine line) throws Exception;
-  }
-
   private Lab() {
   }
 
@@ -80,53 +66,4 @@
     new HelpFormatter().printHelp(to, COLUMNS, "reachloom-lab " + name, "", options, 1, 2, "");
     to.flush();
   }
-
-  /** A whole number from {@code least} to {@code most} that an option gives, or the standard. */
-  public static int number(CommandLine line, String option, int standard, int least, int most)
-      throws ParseException {
-    String text = line.getOptionValue(option);
-    if (text == null) {
-      return standard;
-    }
-    try {
-      int value = Integer.parseInt(text);
-      if (value >= least && value <= most) {
-        return value;
-      }
-    } catch (NumberFormatException e) {
-      // told below
-    }
-    throw new ParseException("--" + option + ": '" + text + "' is not a whole number from " + least + " to "
-        + most);
-  }
-
-  /** A share from 0 to 1 that an option gives, or the standard. */
-  public static double share(CommandLine line, String option, double standard) throws ParseException {
-    String text = line.getOptionValue(option);
-    if (text == null) {
-      return standard;
-    }
-    try {
-      double value = Double.parseDouble(text);
-      if (value >= 0 && value <= 1) {
-        return value;
-      }
-    } catch (NumberFormatException e) {
-      // told below
-    }
-    throw new ParseException("--" + option + ": '" + text + "' is not a share from 0 to 1");
-  }
-
-  /** Prints the figures, and writes them with what led to them as JSON where the option asks for it. */
-  public static int tell(CommandLine line, Map<String, Object> origin, Map<String, Object> figures)
-      throws IOException {
-    figures.forEach((name, value) -> System.out.printf("%-22s %s%n", name, value));
-    if (line.hasOption("json")) {
-      Map<String, Object> whole = new LinkedHashMap<>(origin);
-      whole.put("figures", figures);
-      Files.writeString(Path.of(line.getOptionValue("json")),
-          new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(whole) + "\n");
-    }
-    return 0;
-  }
 }
--- a/lab/src/main/java/reachloom/lab/fleet/Baseline.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Baseline.java
@@ -21,6 +21,8 @@
 import reachloom.Decisions.QueryClass;
 import reachloom.Decisions.Report;
 import reachloom.Decisions.Settings;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.World;
 import reachloom.standin.model.EngineModel;
 import reachloom.standin.model.EngineModel.Mood;
 
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -9,10 +9,15 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import reachloom.Choice;
-import reachloom.lab.Lab;
+import reachloom.lab.command.Arguments;
+import reachloom.lab.command.Command;
+import reachloom.lab.command.Figures;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.ProcessFleet;
+import reachloom.lab.rig.Script;
 
 /** Plays a whole fleet under a script of troubles, and tells how the load was spread and what broke. */
-public final class FleetCommand implements Lab.Command {
+public final class FleetCommand implements Command {
   private static final double HUNDREDTHS = 100;
 
   @Override
@@ -51,15 +56,15 @@
     if (!mode.equals("virtual") && !mode.equals("sockets")) {
       throw new ParseException("--mode: '" + mode + "' is neither virtual nor sockets");
     }
-    int gateways = Lab.number(line, "gateways", 24, 1, 1_000);
-    Plan plan = new Plan(gateways, Lab.number(line, "engines", 12, 1, 500), Lab.number(line, "zones", 3,
-        1, 16),
-        Lab.number(line, "seconds", 20, 2, 600), Lab.number(line, "load", 70, 1, 300) / HUNDREDTHS,
-        Lab.number(line, "skew", 80, 0, 300) / HUNDREDTHS, Lab.share(line, "large", 0),
-        Lab.number(line, "believed", gateways, 1, 10_000),
-        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE),
-        Lab.number(line, "clocks-apart-ms", 0, 0, 3_600_000) * Plan.MILLISECOND,
-        Lab.number(line, "report-age-ms", 0, 0, 10_000) * Plan.MILLISECOND);
+    int gateways = Arguments.number(line, "gateways", 24, 1, 1_000);
+    Plan plan = new Plan(gateways, Arguments.number(line, "engines", 12, 1, 500),
+        Arguments.number(line, "zones", 3, 1, 16), Arguments.number(line, "seconds", 20, 2, 600),
+        Arguments.number(line, "load", 70, 1, 300) / HUNDREDTHS,
+        Arguments.number(line, "skew", 80, 0, 300) / HUNDREDTHS, Arguments.share(line, "large", 0),
+        Arguments.number(line, "believed", gateways, 1, 10_000),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE),
+        Arguments.number(line, "clocks-apart-ms", 0, 0, 3_600_000) * Plan.MILLISECOND,
+        Arguments.number(line, "report-age-ms", 0, 0, 10_000) * Plan.MILLISECOND);
     Script script;
     try {
       script = Script.of(line.getOptionValue("script", "calm"));
@@ -83,7 +88,7 @@
     origin.put("policy", policy);
     origin.put("script", script.name());
     origin.put("plan", plan);
-    return Lab.tell(line, origin, figures);
+    return Figures.tell(line, origin, figures);
   }
 
   private static Map<String, Object> sockets(CommandLine line, Plan plan, Script script) throws Exception {
@@ -91,7 +96,7 @@
     Path folder = kept ? Files.createDirectories(Path.of(line.getOptionValue("logs")))
         : Files.createTempDirectory("reachloom-fleet");
     try (ProcessFleet fleet =
-        new ProcessFleet(plan, folder, jar(line), Lab.number(line, "heap-mb", 24, 8, 512))) {
+        new ProcessFleet(plan, folder, Arguments.jar(line), Arguments.number(line, "heap-mb", 24, 8, 512))) {
       return fleet.play(script);
     } finally {
       if (!kept) {
@@ -101,20 +106,4 @@
       }
     }
   }
-
-  /**
-   * The program: given, or where the build leaves it, seen from the laboratory's; null for the class path.
-   */
-  private static Path jar(CommandLine line) throws ParseException {
-    if (line.hasOption("jar")) {
-      Path given = Path.of(line.getOptionValue("jar"));
-      if (!Files.isReadable(given)) {
-        throw new ParseException("--jar: '" + given + "' can't be read");
-      }
-      return given;
-    }
-    Path own = Path.of(System.getProperty("java.class.path")).toAbsolutePath();
-    Path built = own.getParent().resolve("../../gateway/target/reachloom.jar").normalize();
-    return own.toString().endsWith(".jar") && Files.isReadable(built) ? built : null;
-  }
 }
--- a/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/reachloom/lab/fleet/VirtualFleet.java
@@ -18,7 +18,14 @@
 import reachloom.Decisions.Report;
 import reachloom.Decisions.Settings;
 import reachloom.config.SettingsReader;
-import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.lab.rig.Conditions;
+import reachloom.lab.rig.Director;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.Script;
+import reachloom.lab.rig.Truth;
+import reachloom.lab.rig.Workload;
+import reachloom.lab.rig.Workload.Arrival;
+import reachloom.lab.rig.World;
 import reachloom.standin.model.Agenda;
 import reachloom.standin.model.EngineModel;
 
--- a/lab/src/main/java/reachloom/lab/fleet/package-info.java
+++ b/lab/src/main/java/reachloom/lab/fleet/package-info.java
@@ -1,6 +1,5 @@
 /**
- * A fleet of gateways among engines, a change log and clients, with faults between them: as processes of the
- * real program on loopback, or in simulated time around the real decisions. One plan, one script of troubles,
- * one workload and one auditor serve both.
+ * A fleet of gateways under a script of troubles: processes of the program, or in simulated time around the
+ * real decisions or around a policy to compare them with.
  */
 package reachloom.lab.fleet;
--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -10,12 +10,14 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import reachloom.lab.Lab;
+import reachloom.lab.command.Arguments;
+import reachloom.lab.command.Command;
+import reachloom.lab.command.Figures;
 import reachloom.lab.gossip.VirtualRun.Lie;
 import reachloom.lab.gossip.VirtualRun.Plan;
 
 /** Measures gossip: crashes, joins, loss, liars and sick engines. */
-public final class GossipCommand implements Lab.Command {
+public final class GossipCommand implements Command {
   private static final long MILLISECOND = 1_000_000; // nanoseconds
 
   @Override
@@ -60,26 +62,29 @@
       throw new ParseException("--lie: '" + line.getOptionValue("lie")
           + "' is none of one, all, friend, flap, praise");
     }
-    int instances = Lab.number(line, "instances", 8, 4, 1_000);
-    int engines = Lab.number(line, "engines", 0, 0, 200);
+    int instances = Arguments.number(line, "instances", 8, 4, 1_000);
+    int engines = Arguments.number(line, "engines", 0, 0, 200);
     if (mode.equals("sockets")) {
       return sockets(line, engines);
     }
-    Plan plan = new Plan(instances, engines, Lab.number(line, "gateways-down", 1, 0, instances - 4),
-        Lab.number(line, "sick", 0, 0, engines), Lab.number(line, "liars", 0, 0, instances),
-        line.hasOption("collude"), lie, Lab.share(line, "loss", 0), Lab.share(line, "slow", 0),
-        Lab.number(line, "join", 0, 0, 1_000), Lab.number(line, "seconds", 60, 1, 3_600),
-        Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE), Lab.number(line, "cap", 4_096, 1_024, 1 << 20),
-        Lab.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND,
-        Lab.number(line, "rate", 20, 1, 2_000));
+    Plan plan = new Plan(instances, engines, Arguments.number(line, "gateways-down", 1, 0, instances - 4),
+        Arguments.number(line, "sick", 0, 0, engines), Arguments.number(line, "liars", 0, 0, instances),
+        line.hasOption("collude"), lie, Arguments.share(line, "loss", 0), Arguments.share(line, "slow", 0),
+        Arguments.number(line, "join", 0, 0, 1_000), Arguments.number(line, "seconds", 60, 1, 3_600),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE),
+        Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
+        Arguments.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND,
+        Arguments.number(line, "rate", 20, 1, 2_000));
     return tell(line, mode, plan, new VirtualRun(plan).play());
   }
 
   /** Real gateways on loopback: sick engines and junk; the other troubles are played in simulated time. */
   private static int sockets(CommandLine line, int engines) throws Exception {
-    SocketRun.Plan plan = new SocketRun.Plan(Lab.number(line, "instances", 8, 1, 32), Math.max(1, engines),
-        Lab.number(line, "sick", 0, 0, Math.max(1, engines)), Lab.number(line, "junk", 0, 0, 50_000),
-        Lab.number(line, "seconds", 60, 4, 600), Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE));
+    int some = Math.max(1, engines);
+    SocketRun.Plan plan = new SocketRun.Plan(Arguments.number(line, "instances", 8, 1, 32), some,
+        Arguments.number(line, "sick", 0, 0, some), Arguments.number(line, "junk", 0, 0, 50_000),
+        Arguments.number(line, "seconds", 60, 4, 600),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE));
     Path folder = Files.createTempDirectory("reachloom-gossip");
     try {
       return tell(line, "sockets", plan, new SocketRun(plan, folder).play());
@@ -95,6 +100,6 @@
     Map<String, Object> origin = new LinkedHashMap<>();
     origin.put("mode", mode);
     origin.put("plan", plan);
-    return Lab.tell(line, origin, figures);
+    return Figures.tell(line, origin, figures);
   }
 }
--- a/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
@@ -14,10 +14,10 @@
 import java.util.SplittableRandom;
 import reachloom.gossip.Packet;
 import reachloom.gossip.wire.GossipCodec;
-import reachloom.lab.fleet.ProcessFleet;
-import reachloom.lab.fleet.Script;
-import reachloom.lab.fleet.Trouble;
-import reachloom.lab.fleet.Truth;
+import reachloom.lab.rig.ProcessFleet;
+import reachloom.lab.rig.Script;
+import reachloom.lab.rig.Trouble;
+import reachloom.lab.rig.Truth;
 import reachloom.membership.Message;
 
 /**
@@ -90,7 +90,7 @@
     }
     double quarter = SETTLE_MS / 1e3 + plan.seconds * 0.25;
     double all = SETTLE_MS / 1e3 + plan.seconds;
-    reachloom.lab.fleet.Plan fleetPlan = new reachloom.lab.fleet.Plan(plan.instances, plan.engines, 1,
+    reachloom.lab.rig.Plan fleetPlan = new reachloom.lab.rig.Plan(plan.instances, plan.engines, 1,
         (int) all,
         LOAD, 0, 0, plan.instances, plan.seed);
     Trouble hang = new Trouble(quarter, Trouble.Who.ENGINES, Trouble.Kind.HANG,
--- a/lab/src/main/java/reachloom/lab/fleet/Clients.java
+++ b/lab/src/main/java/reachloom/lab/rig/Clients.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -16,7 +16,7 @@
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.FrameDecoder;
 import reachloom.gateway.wire.Listener;
-import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.lab.rig.Workload.Arrival;
 import reachloom.standin.ThriftWords;
 
 /** Clients of the fleet: they send each query when it is due, whatever has become of those before. */
@@ -80,7 +80,7 @@
   }
 
   /** The query that a command to an engine runs. */
-  static Arrival read(Command command) {
+  static Arrival read(EngineCommand command) {
     String[] words = command.statement().split(" ");
     int from = words.length - 5;
     return new Arrival(Long.parseUnsignedLong(command.id(), 16), 0, -1, Integer.parseInt(words[from + 1]),
--- a/lab/src/main/java/reachloom/lab/fleet/Conditions.java
+++ b/lab/src/main/java/reachloom/lab/rig/Conditions.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -7,10 +7,11 @@
 import java.util.List;
 
 /** The settings and the configuration of one gateway of the fleet, as the platform's JSON words them. */
-final class Conditions {
+public final class Conditions {
   private static final ObjectMapper JSON = new ObjectMapper();
   static final long DIAL = 250 * Plan.MILLISECOND;
-  static final long KEEPALIVE = 30 * Plan.SECOND;
+  /** Idle connections to engines are kept for so long. */
+  public static final long KEEPALIVE = 30 * Plan.SECOND;
   static final long GRACE = 500 * Plan.MILLISECOND;
   static final long KEY_WINDOW = 12 * Plan.SECOND;
   static final int MOST_ATTEMPTS = 5;
@@ -25,7 +26,7 @@
   }
 
   /** The object of all settings for a gateway. */
-  static ObjectNode settings(Plan plan, int gateway) {
+  public static ObjectNode settings(Plan plan, int gateway) {
     ObjectNode root = JSON.createObjectNode();
     root.put("balancers", plan.believed()).put("selfIndex", gateway).put("zone", plan.zoneOf(gateway))
         .put("tick", 5 * Plan.MILLISECOND).put("discovery", "automatic").put("overShareWorth", 0.1);
--- a/lab/src/main/java/reachloom/lab/fleet/Director.java
+++ b/lab/src/main/java/reachloom/lab/rig/Director.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,9 +8,9 @@
 import reachloom.standin.model.EngineModel.Mood;
 
 /** Plays a script: brings each trouble about in its time, and ends it. */
-final class Director {
+public final class Director {
   /** What can be done to gateways. */
-  interface Gateways {
+  public interface Gateways {
     /** Ends it at once, without a word. */
     void kill(int gateway);
 
@@ -30,7 +30,8 @@
   private final Truth truth;
   private final SplittableRandom random;
 
-  Director(World world, Gateways gateways, Workload workload, Truth truth) {
+  /** A director over that world; what it does to gateways is done by others. */
+  public Director(World world, Gateways gateways, Workload workload, Truth truth) {
     this.world = world;
     this.gateways = gateways;
     this.workload = workload;
@@ -39,7 +40,7 @@
   }
 
   /** Plans all of it, from that time on, as long as the run goes on. */
-  void play(Script script, long start, BooleanSupplier goesOn) {
+  public void play(Script script, long start, BooleanSupplier goesOn) {
     for (Trouble t : script.troubles()) {
       world.time.at(start + t.start(), () -> {
         if (goesOn.getAsBoolean()) {
--- a/lab/src/main/java/reachloom/lab/fleet/CommandDecoder.java
+++ b/lab/src/main/java/reachloom/lab/rig/EngineCommandDecoder.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -6,7 +6,7 @@
 import reachloom.gateway.wire.Decoder;
 
 /** Commands to engines: lines that end in CR LF, behind {@code ASK} a body as long as its last word says. */
-final class CommandDecoder implements Decoder<Command> {
+final class EngineCommandDecoder implements Decoder<EngineCommand> {
   private static final int MOST_LINE = 4096;
   private static final int MOST_BODY = 64 * 1024;
   private static final int LINE_END = 2;
@@ -21,7 +21,7 @@
   }
 
   @Override
-  public String feed(byte[] bytes, int from, int to, Consumer<? super Command> messages) {
+  public String feed(byte[] bytes, int from, int to, Consumer<? super EngineCommand> messages) {
     for (int at = from; at < to;) {
       if (ask != null) {
         int more = Math.min(to - at, wanted - part.size());
@@ -29,7 +29,8 @@
         at += more;
         if (part.size() == wanted) {
           String body = part.toString(StandardCharsets.UTF_8);
-          messages.accept(new Command(ask[0], ask[1], ask[2], body.substring(0, body.length() - LINE_END)));
+          String statement = body.substring(0, body.length() - LINE_END);
+          messages.accept(new EngineCommand(ask[0], ask[1], ask[2], statement));
           part.reset();
           ask = null;
         }
@@ -57,7 +58,7 @@
         ask = words;
         wanted = length + LINE_END;
       } else {
-        messages.accept(new Command(words[0], words[1], words.length > 2 ? words[2] : "", ""));
+        messages.accept(new EngineCommand(words[0], words[1], words.length > 2 ? words[2] : "", ""));
       }
     }
     return null;
--- a/lab/src/main/java/reachloom/lab/fleet/Hosts.java
+++ b/lab/src/main/java/reachloom/lab/rig/Hosts.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -71,7 +71,7 @@
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
     }
-    prepare(engines, new DecodingHandler<>("gateway", CommandDecoder::new, new Asked()));
+    prepare(engines, new DecodingHandler<>("gateway", EngineCommandDecoder::new, new Asked()));
     for (EngineModel e : world.engines.values()) {
       bind(e);
     }
@@ -207,7 +207,7 @@
     });
   }
 
-  private final class Asked implements Listener<Command> {
+  private final class Asked implements Listener<EngineCommand> {
     @Override
     public void opened(IoSession session) {
       InetSocketAddress address = (InetSocketAddress) session.getLocalAddress();
@@ -230,7 +230,7 @@
     }
 
     @Override
-    public void received(IoSession session, Command command, int bytes) {
+    public void received(IoSession session, EngineCommand command, int bytes) {
       Conn c = (Conn) session.getAttribute(OF);
       long sentAt = world.time.now();
       world.time.at(0, () -> over(link(c), link(c).cutOut, () -> heard(c, command, sentAt)));
@@ -252,7 +252,7 @@
     }
   }
 
-  private void heard(Conn c, Command command, long sentAt) {
+  private void heard(Conn c, EngineCommand command, long sentAt) {
     if (c.session.isClosing()) {
       return;
     }
@@ -278,7 +278,7 @@
     return Math.round(value * 1e4) / 1e4;
   }
 
-  private void ask(Conn c, Command command, long sentAt) {
+  private void ask(Conn c, EngineCommand command, long sentAt) {
     String id = command.id();
     Workload.Arrival a = Clients.read(command);
     EngineModel e = c.engine;
--- a/lab/src/main/java/reachloom/lab/fleet/Plan.java
+++ b/lab/src/main/java/reachloom/lab/rig/Plan.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -14,8 +14,9 @@
 public record Plan(int gateways, int engines, int zones, int seconds, double load, double skew, double large,
     int believed, long seed,
     long clocksApart, long reportAge) {
-  static final long SECOND = 1_000_000_000L; // nanoseconds
-  static final long MILLISECOND = 1_000_000L;
+  /** Units of time. */
+  public static final long SECOND = 1_000_000_000L; // nanoseconds
+  public static final long MILLISECOND = 1_000_000L;
   static final int SMALL_CORES = 8;
   static final int LARGE_CORES = 16;
   static final double COLD_FROM = 0.35;
@@ -33,17 +34,17 @@
   }
 
   /** Where a gateway is. */
-  int zoneOf(int gateway) {
+  public int zoneOf(int gateway) {
     return gateway % zones;
   }
 
   /** Where an engine is; replaced ones are numbered on, in the same zones. */
-  int zoneOfEngine(int engine) {
+  public int zoneOfEngine(int engine) {
     return (engine - 1) % zones;
   }
 
   /** Whether an engine is of the larger kind: spread evenly over the zones. */
-  boolean isLarge(int engine) {
+  public boolean isLarge(int engine) {
     int place = (engine - 1) % engines / zones;
     return Math.floor((place + 1) * large) > Math.floor(place * large);
   }
--- a/lab/src/main/java/reachloom/lab/fleet/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntFunction;
-import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.lab.rig.Workload.Arrival;
 import reachloom.standin.model.RealTime;
 
 /** The fleet as processes of the program, among engines, change logs and clients on loopback. */
--- a/lab/src/main/java/reachloom/lab/fleet/Processes.java
+++ b/lab/src/main/java/reachloom/lab/rig/Processes.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/lab/src/main/java/reachloom/lab/fleet/Script.java
+++ b/lab/src/main/java/reachloom/lab/rig/Script.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,13 +21,13 @@
 /** A script of troubles, in XML that {@code script.xsd} describes. */
 public record Script(String name, List<Trouble> troubles) {
   /** Scripts that the program brings along. */
-  static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
+  public static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
       "restart",
       "stall", "list", "cut", "surge", "crowd");
   static final Script NONE = new Script("none", List.of());
 
   /** A script that can't be used: the text names the line, and what is wrong there. */
-  static final class Unusable extends Exception {
+  public static final class Unusable extends Exception {
     private static final long serialVersionUID = 1;
 
     Unusable(String why) {
@@ -36,12 +36,12 @@
   }
 
   /** The script of that name, or in the file of that name. */
-  static Script of(String nameOrFile) throws Unusable {
+  public static Script of(String nameOrFile) throws Unusable {
     if (NAMED.contains(nameOrFile)) {
       try (InputStream in = Script.class.getResourceAsStream("script-" + nameOrFile + ".xml")) {
         return read(in, nameOrFile);
       } catch (IOException e) {
-        throw new Unusable(nameOrFile + ": " + e.getMessage());
+      throw new Unusable(nameOrFile + ": " + e.getMessage());
       }
     }
     Path file = Path.of(nameOrFile);
--- a/lab/src/main/java/reachloom/lab/fleet/Spread.java
+++ b/lab/src/main/java/reachloom/lab/rig/Spread.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/lab/src/main/java/reachloom/lab/fleet/Trouble.java
+++ b/lab/src/main/java/reachloom/lab/rig/Trouble.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 /**
  * One line of a script: at that time, in seconds, it begins for a share of those it may meet, in one zone or,
--- a/lab/src/main/java/reachloom/lab/fleet/Truth.java
+++ b/lab/src/main/java/reachloom/lab/rig/Truth.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
-import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.lab.rig.Workload.Arrival;
 import reachloom.standin.model.EngineModel;
 
 /**
@@ -22,10 +22,10 @@
   private static final long LONGEST_MICROS = 60_000_000;
 
   /** How a query ended for its client. */
-  enum Answer { NONE, SERVED, REFUSED, FAILED }
+  public enum Answer { NONE, SERVED, REFUSED, FAILED }
 
   /** One attempt, as its engine saw it. */
-  static final class Try {
+  public static final class Try {
     final Query query;
     final int engine;
     final int gateway;
@@ -107,7 +107,8 @@
   private int refusedWhileIdle;
   private int fell;
 
-  Truth(World world, long start) {
+  /** An auditor of what happens in that world from that time on. */
+  public Truth(World world, long start) {
     this.world = world;
     this.start = start;
     plan = world.plan;
@@ -131,14 +132,14 @@
   }
 
   /** Looks at all engines each window from now on. */
-  void watch(long until) {
+  public void watch(long until) {
     spread.watch(until);
   }
 
   // ---- What clients see ----
 
   /** A query was taken by that gateway. */
-  Query taken(Arrival a, int gateway, long now) {
+  public Query taken(Arrival a, int gateway, long now) {
     Query q = new Query(a, gateway, now);
     queries.put(a.number(), q);
     owed++;
@@ -147,12 +148,12 @@
   }
 
   /** Nobody could take it. */
-  void unplaced(Arrival a) {
+  public void unplaced(Arrival a) {
     unplaced.add(a);
   }
 
   /** A client has its answer, or a further one. */
-  void answered(long number, Answer answer, long now) {
+  public void answered(long number, Answer answer, long now) {
     Query q = queries.get(number);
     if (q == null) {
       broken("answers to nothing asked", number);
@@ -172,7 +173,7 @@
   }
 
   /** The connection of an unanswered query ended. */
-  void orphaned(long number, boolean killed) {
+  public void orphaned(long number, boolean killed) {
     Query q = queries.get(number);
     if (q != null && q.answers == 0 && !q.orphan) {
       owed--;
@@ -204,7 +205,7 @@
   // ---- What engines see ----
 
   /** An attempt has come whole. */
-  Try came(long number, int engine, int gateway, long now, long sentAt, boolean ran) {
+  public Try came(long number, int engine, int gateway, long now, long sentAt, boolean ran) {
     Query q = queries.get(number);
     if (q == null) {
       broken("attempts of nothing asked", number);
@@ -228,7 +229,7 @@
   }
 
   /** An attempt has ended at its engine, or was given up there. */
-  void ended(Try t, long now) {
+  public void ended(Try t, long now) {
     if (t != null && t.endAt == Long.MAX_VALUE) {
       t.endAt = now;
     }
@@ -353,7 +354,7 @@
   }
 
   /** All figures; {@code service} is the share of the worth asked for that was served in the time wanted. */
-  Map<String, Object> figures(long now, long settled) {
+  public Map<String, Object> figures(long now, long settled) {
     close(now);
     List<Query> all = queries.values().stream().filter(q -> q.arrival.at() >= settled).toList();
     Map<String, Object> f = new java.util.LinkedHashMap<>();
--- a/lab/src/main/java/reachloom/lab/fleet/Workload.java
+++ b/lab/src/main/java/reachloom/lab/rig/Workload.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.Arrays;
 import java.util.List;
@@ -8,14 +8,14 @@
  * An open stream of queries: they come by their own clock, whatever becomes of those before. The same seed
  * gives the same queries, whoever serves them.
  */
-final class Workload {
+public final class Workload {
   private static final long SECOND = Plan.SECOND;
   private static final int KEYS = 5_000;
   private static final double MOST_WORK = 6; // means
 
   /** A class of queries; times in nanoseconds, work in core-seconds. */
-  record Kind(String name, String effect, double share, double work, int threads, double memoryMb, long aim,
-      double stretch, long deadline, double worth) {
+  public record Kind(String name, String effect, double share, double work, int threads, double memoryMb,
+      long aim, double stretch, long deadline, double worth) {
     /** Within what time an answer is wanted. */
     long aimFor(double ofWork) {
       return aim + (long) (stretch * ofWork / threads * SECOND);
@@ -23,19 +23,21 @@
   }
 
   /** What a fleet is asked: many short queries, a few long ones, and loads that may not run twice. */
-  static final List<Kind> KINDS = List.of(
+  public static final List<Kind> KINDS = List.of(
       new Kind("lookup", "repeatable", 0.82, 0.06, 1, 100, SECOND / 2, 1.5, 3 * SECOND, 1),
       new Kind("report", "repeatable", 0.11, 0.8, 2, 800, 3 * SECOND / 2, 2.5, 15 * SECOND, 8),
       new Kind("load", "by_key", 0.05, 1.2, 2, 500, 3 * SECOND, 2.5, 15 * SECOND, 12),
       new Kind("change", "once", 0.02, 0.3, 1, 200, SECOND, 2.5, 6 * SECOND, 6));
 
   /** One query; {@code key} is -1 in classes without one. */
-  record Arrival(long number, long at, int gateway, int kind, double work, int key) {
-    String id() {
+  public record Arrival(long number, long at, int gateway, int kind, double work, int key) {
+    /** What clients and engines call it. */
+    public String id() {
       return String.format("%016x", number);
     }
 
-    Kind of() {
+    /** Its class. */
+    public Kind of() {
       return KINDS.get(kind);
     }
   }
@@ -49,7 +51,7 @@
   private long count;
 
   /** Queries that begin at that time. */
-  Workload(Plan plan, long start) {
+  public Workload(Plan plan, long start) {
     this.plan = plan;
     random = new SplittableRandom(plan.seed());
     nextAt = start;
@@ -83,7 +85,7 @@
   }
 
   /** The next query, later than all before. */
-  Arrival next() {
+  public Arrival next() {
     double rate = plan.rate() * times * upTo[upTo.length - 1];
     nextAt += -Math.log(1 - random.nextDouble()) / rate * SECOND;
     double drawn = random.nextDouble() * upTo[upTo.length - 1];
--- a/lab/src/main/java/reachloom/lab/fleet/World.java
+++ b/lab/src/main/java/reachloom/lab/rig/World.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -15,10 +15,11 @@
  * What lies around the gateways: engines, the list of them as each part of the fleet is told it, and the
  * links between zones. One thread, that of the timeline, touches it.
  */
-final class World {
+public final class World {
   static final int READY = 0;
   static final int DRAINING = 1;
-  static final int GONE = 2;
+  /** The state of an engine that the list no longer has. */
+  public static final int GONE = 2;
   /** From a drain to the end of the process: longer than most queries take. */
   private static final long DRAIN = 4 * Plan.SECOND;
   /** The list learns so long after it that a process has ended by itself. */
@@ -27,30 +28,31 @@
   private static final long REPAIR = 10 * Plan.SECOND;
 
   /** An engine as the list has it: ready, draining or gone, and the Unix millisecond of a late start. */
-  record Listed(int id, int state, long startedMs) {
+  public record Listed(int id, int state, long startedMs) {
   }
 
   /** One change of the list; numbers run on without gaps. */
-  record Event(long number, Listed engine) {
+  public record Event(long number, Listed engine) {
   }
 
   /** The way between the gateways of one zone and the engines of another. */
-  static final class Link {
+  public static final class Link {
     /** Added to the way of each message, in nanoseconds. */
-    long delay;
+    public long delay;
     /** Whether what gateways send, or what engines answer, is lost. */
-    boolean cutOut;
-    boolean cutIn;
+    public boolean cutOut;
+    public boolean cutIn;
 
-    boolean sound() {
+    /** Whether nothing is wrong with it. */
+    public boolean sound() {
       return delay == 0 && !cutOut && !cutIn;
     }
   }
 
   /** The list as the gateways of one zone are told it. */
-  final class View {
+  public final class View {
     final int zone;
-    final List<Event> log = new ArrayList<>();
+    public final List<Event> log = new ArrayList<>();
     private final List<Event> held = new ArrayList<>();
     private final List<Consumer<Event>> hearers = new ArrayList<>();
     private long delay;
@@ -82,12 +84,13 @@
       reach.accept(this);
     }
 
-    boolean isDown() {
+    /** Whether it can't be reached now. */
+    public boolean isDown() {
       return down;
     }
 
     /** Calls back for each event from now on. */
-    void hear(Consumer<Event> hearer) {
+    public void hear(Consumer<Event> hearer) {
       hearers.add(hearer);
     }
 
@@ -110,7 +113,7 @@
   }
 
   /** Hears that all connections from the gateways of one zone to the engines of another break. */
-  interface Broken {
+  public interface Broken {
     void accept(int gatewayZone, int engineZone);
   }
 
@@ -120,10 +123,10 @@
   }
 
   final Plan plan;
-  final Timeline time;
-  final Map<Integer, EngineModel> engines = new LinkedHashMap<>();
+  public final Timeline time;
+  public final Map<Integer, EngineModel> engines = new LinkedHashMap<>();
   final Map<Integer, Listed> list = new LinkedHashMap<>();
-  final List<View> views = new ArrayList<>();
+  public final List<View> views = new ArrayList<>();
   private final Map<Integer, Integer> mostConnections = new LinkedHashMap<>();
   private final Link[][] links;
   private final SplittableRandom random;
@@ -136,7 +139,8 @@
   private Consumer<EngineModel> fell = e -> { };
   private Consumer<EngineModel> ended = e -> { };
 
-  World(Plan plan, Timeline time) {
+  /** A world with the plan's engines, all well, on that timeline. */
+  public World(Plan plan, Timeline time) {
     this.plan = plan;
     this.time = time;
     random = new SplittableRandom(plan.seed() * 31 + 5);
@@ -157,7 +161,8 @@
     told = hearer;
   }
 
-  void onReset(Broken hearer) {
+  /** Hears when connections are broken. */
+  public void onReset(Broken hearer) {
     reset = hearer;
   }
 
@@ -184,15 +189,18 @@
     ended = hearer;
   }
 
-  static String name(int engine) {
+  /** What the list calls an engine. */
+  public static String name(int engine) {
     return String.format("s-%08x", engine);
   }
 
-  static int number(String name) {
+  /** The number in such a name. */
+  public static int number(String name) {
     return Integer.parseUnsignedInt(name.substring(2), 16);
   }
 
-  Link link(int gatewayZone, int engineZone) {
+  /** The way between the gateways of one zone and the engines of another. */
+  public Link link(int gatewayZone, int engineZone) {
     return links[gatewayZone][engineZone];
   }
 
@@ -259,7 +267,7 @@
   }
 
   /** How many connections an engine holds at most now. */
-  int mostConnections(int engine) {
+  public int mostConnections(int engine) {
     return mostConnections.getOrDefault(engine, Integer.MAX_VALUE);
   }
 
--- a/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/reachloom/lab/fleet/VirtualFleetTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import reachloom.Choice;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.Script;
 
 /**
  * Whole fleets in simulated time around the real decisions: spread, rules, and the hard cases of a narrow
--- a/lab/src/test/java/reachloom/lab/fleet/ScriptTest.java
+++ b/lab/src/test/java/reachloom/lab/rig/ScriptTest.java
@@ -1,4 +1,4 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/lab/src/test/java/reachloom/lab/fleet/TruthTest.java
+++ b/lab/src/test/java/reachloom/lab/rig/TruthTest.java
@@ -1,12 +1,12 @@
-package reachloom.lab.fleet;
+package reachloom.lab.rig;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import reachloom.lab.fleet.Truth.Answer;
-import reachloom.lab.fleet.Workload.Arrival;
+import reachloom.lab.rig.Truth.Answer;
+import reachloom.lab.rig.Workload.Arrival;
 import reachloom.standin.model.Agenda;
 
 /** The auditor sees each broken rule, and none where all is kept. */
