How long a client may rest is a setting; the laboratory measures slopes of one gateway

Cause: capacity is to be planned with measured slopes of a gateway process, and its bound on idle clients is a constant made for one platform, whose clients leave after 4 s.

Change: reachloom-lab slopes starts one gateway of the program among hollow engines and paced clients and counts processor time (also of its threads), memory and descriptors at several sizes in one run, with a fit. <clients idleTimeoutMs=...> in the settings of an installation sets how long a client may rest; absent, it is 10 s as before; SIGHUP takes a new value at once. Processes, CommandDecoder, Command and FleetCommand.jar can be used from other packages of the laboratory.

--- a/gateway/src/main/java/reachloom/Main.java
+++ b/gateway/src/main/java/reachloom/Main.java
@@ -28,6 +28,7 @@
   private static final int OK = 0;
   private static final int BAD_USE = 2;
   private static final int COLUMNS = 100;
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
   /** What only operators use, with the libraries that takes, stays out of the gateway's jar. */
   private static final String TOOLS = "reachloom-tools.jar";
   private static final String COMMANDS = String.join(System.lineSeparator(),
@@ -139,9 +140,11 @@
   /** What a file of either form tells; XML by its ending, since neither form can be taken for the other. */
   private static String checked(String file) throws ConfigException {
     if (file.endsWith(".xml")) {
-      return LocalSettings.read(file, Map.of()).gossip()
-          .map(g -> "gossip on at " + g.listen() + ", cluster " + g.cluster() + ", " + g.seeds().size()
-              + " seeds").orElse("gossip off");
+      LocalSettings local = LocalSettings.read(file, Map.of());
+      String idle = local.clientIdleTimeout().isEmpty() ? ""
+          : ", clients idle for " + local.clientIdleTimeout().getAsLong() / MILLISECOND + " ms are closed";
+      return local.gossip().map(g -> "gossip on at " + g.listen() + ", cluster " + g.cluster() + ", "
+          + g.seeds().size() + " seeds").orElse("gossip off") + idle;
     }
     GatewayConfig config = GatewayConfig.fromFile(Path.of(file), Map.of());
     return config.name() + " at " + config.listen() + ", " + config.known().size() + " engines known, "
--- a/gateway/src/main/java/reachloom/config/LocalSettings.java
+++ b/gateway/src/main/java/reachloom/config/LocalSettings.java
@@ -6,18 +6,20 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * What an installation sets beside the platform's configuration. What is absent is off; the file itself may
- * be absent, and then no class that reads XML is loaded.
+ * be absent, and then no class that reads XML is loaded. {@code clientIdleTimeout}, in nanoseconds, is how
+ * long a connection of a client may rest with nothing open; absent, the gateway's own bound holds.
  */
-public record LocalSettings(Optional<GossipSettings> gossip) {
+public record LocalSettings(Optional<GossipSettings> gossip, OptionalLong clientIdleTimeout) {
   /** The variable that names the file where the command line does not. */
   public static final String VARIABLE = "REACHLOOM_SETTINGS";
 
   /** All defaults: nothing is on. */
   public static LocalSettings none() {
-    return new LocalSettings(Optional.empty());
+    return new LocalSettings(Optional.empty(), OptionalLong.empty());
   }
 
   /** Reads the file that the command line names, else the one of the environment, else none. */
@@ -47,6 +49,7 @@
   /** What differs in settings read anew and takes effect at once. */
   public List<String> taken(LocalSettings next) {
     List<String> keys = new ArrayList<>();
+    difference(keys, "clients idleTimeoutMs", clientIdleTimeout, next.clientIdleTimeout);
     if (gossip.isPresent() && next.gossip.isPresent()) {
       GossipSettings old = gossip.get();
       GossipSettings now = next.gossip.get();
--- a/gateway/src/main/java/reachloom/config/SettingsFile.java
+++ b/gateway/src/main/java/reachloom/config/SettingsFile.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.ParserConfigurationException;
 import javax.xml.parsers.SAXParser;
@@ -143,7 +144,11 @@
         gossip = Optional.of(gossip(e));
       }
     }
-    return new LocalSettings(gossip);
+    OptionalLong idle = OptionalLong.empty();
+    for (Element e : root.all("clients")) {
+      idle = OptionalLong.of(Long.parseLong(e.values.get("idleTimeoutMs")) * MILLISECOND);
+    }
+    return new LocalSettings(gossip, idle);
   }
 
   private GossipSettings gossip(Element e) throws ConfigException {
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -69,7 +70,10 @@
   private static final long FAREWELL = 5 * MILLISECOND;
   /** Clients that stay silent, or stop within a message, are closed after so long: they hold descriptors. */
   private static final long MOST_SILENCE = 2_000 * MILLISECOND;
-  /** Clients close idle connections after 4 s by themselves; one that is idle for longer only holds on. */
+  /**
+   * Clients close idle connections after 4 s by themselves; one that is idle for longer only holds on. Where
+   * an installation's clients keep theirs, its settings say for how long.
+   */
   private static final long MOST_IDLE = 10_000 * MILLISECOND;
   /** The first message of a client that means to ask is here by then, also where this process is starved. */
   private static final long FIRST_WORDS = 1_000 * MILLISECOND;
@@ -91,6 +95,7 @@
   private long heldBytes;
   private final AtomicLong unsent = new AtomicLong();
   private boolean good;
+  private long mostIdle = MOST_IDLE;
   /** Hears of engines; null where nobody does. */
   private Observer observer;
   /** Once the gateway is to stop: by when all must be answered; else the largest time. */
@@ -152,6 +157,11 @@
     changeLog.follow(next.changeLog(), next.lastEvent(), next.known());
   }
 
+  /** How long clients may rest with nothing open, in nanoseconds; absent, as long as without a setting. */
+  public void clientIdleTimeout(OptionalLong time) {
+    mostIdle = time.orElse(MOST_IDLE);
+  }
+
   /** What {@code check} answers from now on. */
   public void good(boolean value) {
     good = value;
@@ -314,7 +324,7 @@
   }
 
   private Client overdue(long now) {
-    return clients.overdue(now - MOST_SILENCE, now - MOST_IDLE);
+    return clients.overdue(now - MOST_SILENCE, now - mostIdle);
   }
 
   /** Takes a client in, with the table full in the place of another one; false where all have work open. */
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -78,6 +78,7 @@
   /** Serves until SIGTERM; gives the exit status. */
   public int run() throws InterruptedException {
     gateway = new Gateway(config, loop, Choice::new);
+    gateway.clientIdleTimeout(local.clientIdleTimeout());
     if (local.gossip().isPresent() && !joinOthers(local.gossip().get())) {
       return BAD_CONFIGURATION;
     }
@@ -213,6 +214,7 @@
     local = nextLocal;
     loop.post(0, () -> {
       gateway.reload(next);
+      gateway.clientIdleTimeout(nextLocal.clientIdleTimeout());
       if (gossip != null) {
         nextLocal.gossip().ifPresent(gossip::reload);
       }
--- a/gateway/src/test/java/reachloom/config/SettingsFileTest.java
+++ b/gateway/src/test/java/reachloom/config/SettingsFileTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -59,6 +60,39 @@
         .orElseThrow());
   }
 
+  @Test
+  void howLongClientsMayRestIsReadAndAbsentUnlessItIsSet() throws Exception {
+    assertEquals(OptionalLong.empty(), read("").clientIdleTimeout());
+    assertEquals(OptionalLong.empty(), read(GOSSIP).clientIdleTimeout());
+    assertEquals(OptionalLong.of(600_000_000_000L),
+        read("<clients idleTimeoutMs=\"600000\"/>").clientIdleTimeout());
+    LocalSettings both = read(GOSSIP + "<clients idleTimeoutMs=\"1000\"/>");
+    assertEquals(OptionalLong.of(1_000_000_000L), both.clientIdleTimeout());
+    assertTrue(both.gossip().isPresent());
+  }
+
+  @Test
+  void anIdleTimeoutThatCantBeUsedIsRefusedWithItsLine() {
+    String start = folder.resolve("s.xml") + ":3: ";
+    for (String value : List.of("999", "0", "-1", "86400001", "99999999999999999999", "1.5", "soon", "")) {
+      String message = refused("<clients idleTimeoutMs=\"" + value + "\"/>");
+      assertTrue(message.startsWith(start) && message.contains("idleTimeoutMs"), message);
+    }
+    String missing = refused("<clients/>");
+    assertTrue(missing.startsWith(start) && missing.contains("idleTimeoutMs"), missing);
+    assertTrue(refused("<clients idleTimeoutMs=\"5000\"/><clients idleTimeoutMs=\"5000\"/>")
+        .startsWith(start));
+  }
+
+  @Test
+  void anIdleTimeoutThatChangesTakesEffectAtOnce() throws Exception {
+    LocalSettings old = read("<clients idleTimeoutMs=\"5000\"/>");
+    assertEquals(List.of("clients idleTimeoutMs"), old.taken(read("<clients idleTimeoutMs=\"6000\"/>")));
+    assertEquals(List.of("clients idleTimeoutMs"), old.taken(LocalSettings.none()));
+    assertEquals(List.of(), old.taken(old));
+    assertEquals(List.of(), old.fixed(LocalSettings.none()));
+  }
+
   @Test
   void messagesNameFileLineAndElement() {
     String start = folder.resolve("s.xml") + ":3: ";
--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -15,6 +15,7 @@
 import org.apache.commons.cli.ParseException;
 import reachloom.lab.fleet.FleetCommand;
 import reachloom.lab.gossip.GossipCommand;
+import reachloom.lab.slopes.SlopesCommand;
 
 /** Entry point of the laboratory: picks a command by its name. */
 public final class Lab {
@@ -26,6 +27,7 @@
     COMMANDS.put("demo", new Demo());
     COMMANDS.put("gossip", new GossipCommand());
     COMMANDS.put("fleet", new FleetCommand());
+    COMMANDS.put("slopes", new SlopesCommand());
   }
 
   /** One command of the laboratory. */
--- a/lab/src/main/java/reachloom/lab/fleet/Command.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Command.java
@@ -1,5 +1,5 @@
 package reachloom.lab.fleet;
 
 /** What a gateway says to an engine: a word, an id or tag, what follows on the line, and the body of ASK. */
-record Command(String word, String id, String rest, String statement) {
+public record Command(String word, String id, String rest, String statement) {
 }
--- a/lab/src/main/java/reachloom/lab/fleet/CommandDecoder.java
+++ b/lab/src/main/java/reachloom/lab/fleet/CommandDecoder.java
@@ -6,7 +6,7 @@
 import reachloom.gateway.wire.Decoder;
 
 /** Commands to engines: lines that end in CR LF, behind {@code ASK} a body as long as its last word says. */
-final class CommandDecoder implements Decoder<Command> {
+public final class CommandDecoder implements Decoder<Command> {
   private static final int MOST_LINE = 4096;
   private static final int MOST_BODY = 64 * 1024;
   private static final int LINE_END = 2;
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -105,7 +105,7 @@
   /**
    * The program: given, or where the build leaves it, seen from the laboratory's; null for the class path.
    */
-  private static Path jar(CommandLine line) throws ParseException {
+  public static Path jar(CommandLine line) throws ParseException {
     if (line.hasOption("jar")) {
       Path given = Path.of(line.getOptionValue("jar"));
       if (!Files.isReadable(given)) {
--- a/lab/src/main/java/reachloom/lab/fleet/Processes.java
+++ b/lab/src/main/java/reachloom/lab/fleet/Processes.java
@@ -22,7 +22,7 @@
  * The gateways as processes of the program. Signals go only to processes that were started here; all end with
  * the laboratory, also where it is killed: a watcher holds the numbers of all and a pipe that breaks then.
  */
-final class Processes implements AutoCloseable {
+public final class Processes implements AutoCloseable {
   private static final int WAVE = 16; // started at once: a start takes a core for about a second
   private static final long READY_S = 60;
   private static final int STATUS_STEPS = 50;
@@ -48,7 +48,7 @@
    * Gateways whose logs and files go to that folder; a configuration and further words for the command line
    * are asked for at each start.
    */
-  Processes(Path folder, Path jar, int gateways, int heapMb, IntFunction<String> configuration,
+  public Processes(Path folder, Path jar, int gateways, int heapMb, IntFunction<String> configuration,
       IntFunction<List<String>> words) throws IOException {
     this.folder = folder;
     this.jar = jar;
@@ -70,12 +70,13 @@
     Runtime.getRuntime().addShutdownHook(hook);
   }
 
-  List<InetSocketAddress> addresses() {
+  /** Where each listens. */
+  public List<InetSocketAddress> addresses() {
     return addresses;
   }
 
   /** Keeps the classes that a start takes, as the deployment's build does: 200 starts are many. */
-  void archive() throws IOException, InterruptedException {
+  public void archive() throws IOException, InterruptedException {
     Path file = folder.resolve("classes.jsa");
     List<String> command = command("-XX:ArchiveClassesAtExit=" + file, "-Xlog:cds=off",
         "-Xlog:cds+dynamic=off");
@@ -121,7 +122,7 @@
   }
 
   /** Starts all by waves, and waits until each is ready; gives how many are within a minute. */
-  int startAll() throws InterruptedException {
+  public int startAll() throws InterruptedException {
     List<java.util.concurrent.Future<Boolean>> starts = new ArrayList<>();
     for (int g = 0; g < addresses.size(); g++) {
       int gateway = g;
@@ -200,6 +201,11 @@
     }
   }
 
+  /** The number that the system knows it by. */
+  public synchronized long pid(int gateway) {
+    return running.get(gateway).pid();
+  }
+
   /** Whether it was killed, and has not been started again since. */
   synchronized boolean killed(int gateway) {
     return ended.contains(gateway);
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/slopes/Measurement.java
@@ -0,0 +1,237 @@
+package reachloom.lab.slopes;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
+import reachloom.lab.slopes.PacedClients.Gaps;
+
+/** What is measured on gateways: sizes one after another in one run, what was counted, and the fits. */
+final class Measurement {
+  private static final int CONNECTIONS = 64; // that statements come on, where their number is not the size
+  private static final int WARM_RATE = 1_000;
+  private static final double FULL = 0.9; // of a core, by one thread
+  private static final double KEEPS_UP = 0.98;
+  private static final double GAP_S = 5; // between statements of one connection
+  private static final double CONNECT_SETTLE_S = 1;
+  private static final double RANDOM_SETTLE_S = 14; // longer than the gateway lets an idle client rest
+  private static final long CLEARED_MS = 20_000;
+  private static final double MICROSECONDS = 1e6;
+  private static final double KILOBYTES = 1_024;
+
+  /** What is wanted. */
+  record Wanted(Path folder, Path jar, int heapMb, int warmS, int settleS, int seconds, int rounds,
+      int[] rates, int[] engines, int[] connections, List<String> classes, List<String> patterns,
+      int believed, OptionalLong idleTimeoutMs, long seed) {
+  }
+
+  private final Wanted wanted;
+  private final Map<String, Object> figures = new LinkedHashMap<>();
+  private int defects;
+
+  Measurement(Wanted wanted) {
+    this.wanted = wanted;
+  }
+
+  Map<String, Object> figures() {
+    figures.put("rig_defects", defects);
+    return figures;
+  }
+
+  private GatewayRig rig(int engines) throws IOException, InterruptedException {
+    int believed = wanted.believed > 0 ? wanted.believed : Math.max(1, engines * 580 / 630);
+    Path folder = Files.createDirectories(wanted.folder.resolve("engines-" + engines));
+    return new GatewayRig(new GatewayRig.Given(folder, wanted.jar, wanted.heapMb, engines, believed,
+        wanted.idleTimeoutMs, wanted.seed));
+  }
+
+  /** The code that statements take is compiled by then. */
+  private void warm(GatewayRig rig) throws InterruptedException {
+    rig.clients().open(CONNECTIONS);
+    for (String c : SlopesCommand.CLASSES) {
+      rig.clients().pace(WARM_RATE, c, Gaps.EVEN);
+      pause((double) wanted.warmS / SlopesCommand.CLASSES.size());
+    }
+    rig.clients().pace(0, "quick", Gaps.EVEN);
+    pause(1);
+  }
+
+  private static void pause(double seconds) throws InterruptedException {
+    Thread.sleep((long) (seconds * 1_000));
+  }
+
+  private Map<String, Object> row(String name, GatewayRig rig, double seconds)
+      throws IOException, InterruptedException {
+    Map<String, Object> row = rig.watch(seconds);
+    double answered = number(row, "answered_per_s");
+    if (answered > 0) {
+      row.put("us_per_statement", GatewayRig.rounded(number(row, "cores") / answered * MICROSECONDS, 1));
+    }
+    figures.put(name, row);
+    System.err.println(name + " " + row);
+    return row;
+  }
+
+  private static double number(Map<String, Object> row, String key) {
+    return ((Number) row.get(key)).doubleValue();
+  }
+
+  /** Whether the gateway, or one thread of it, could not keep up. */
+  private static boolean full(Map<String, Object> row, double asked) {
+    return number(row, "cores_loop") > FULL || number(row, "cores_sockets") > FULL
+        || number(row, "answered_per_s") < KEEPS_UP * asked;
+  }
+
+  private void fit(String name, String key, List<Map<String, Object>> rows, int[] sizes, double scale,
+      ToDoubleFunction<Map<String, Object>> asked) {
+    List<Fit.Point> points = new ArrayList<>();
+    for (int i = 0; i < rows.size(); i++) {
+      Map<String, Object> row = rows.get(i);
+      points.add(new Fit.Point(sizes[i], number(row, key) * scale, full(row, asked.applyAsDouble(row))));
+    }
+    Fit fit = Fit.of(points);
+    Map<String, Object> told = new LinkedHashMap<>();
+    told.put("a", fit.a());
+    told.put("b", fit.b());
+    told.put("residual", GatewayRig.rounded(fit.residual(), 4));
+    told.put("knee", fit.knee());
+    told.put("sizes", fit.sizes());
+    figures.put(name, told);
+    System.err.println(name + ": " + fit);
+  }
+
+  /** Of each size the round whose figure is the middle one. */
+  private static List<Map<String, Object>> middle(List<List<Map<String, Object>>> rounds, String key) {
+    List<Map<String, Object>> middle = new ArrayList<>();
+    for (int size = 0; size < rounds.get(0).size(); size++) {
+      int of = size;
+      middle.add(rounds.stream().map(r -> r.get(of)).sorted(Comparator.comparingDouble(r -> number(r, key)))
+          .skip((rounds.size() - 1) / 2).findFirst().orElseThrow());
+    }
+    return middle;
+  }
+
+  /** Processor time of a statement, by class, at several rates. */
+  void statements() throws IOException, InterruptedException {
+    try (GatewayRig rig = rig(wanted.engines[0])) {
+      warm(rig);
+      row("without statements", rig, wanted.seconds);
+      Map<String, List<List<Map<String, Object>>>> rows = new LinkedHashMap<>();
+      // In rounds, so that a busy moment of the machine does not hit one size alone.
+      for (int round = 1; round <= wanted.rounds; round++) {
+        for (String c : wanted.classes) {
+          List<Map<String, Object>> of = new ArrayList<>();
+          for (int rate : wanted.rates) {
+            rig.clients().pace(rate, c, Gaps.EVEN);
+            pause(wanted.settleS);
+            of.add(row(c + " " + rate + (wanted.rounds > 1 ? " round " + round : ""), rig, wanted.seconds));
+          }
+          rig.clients().pace(0, c, Gaps.EVEN);
+          pause(1);
+          rows.computeIfAbsent(c, k -> new ArrayList<>()).add(of);
+        }
+      }
+      rows.forEach((c, rounds) -> {
+        for (String key : List.of("cores", "cores_loop", "cores_sockets")) {
+          fit("fit " + c + ", " + key, key, middle(rounds, key), wanted.rates, 1,
+              r -> number(r, "sent_per_s"));
+        }
+      });
+      defects += rig.defects();
+    }
+  }
+
+  /** Processor time with several numbers of engines, without statements and at one rate. */
+  void engines() throws IOException, InterruptedException {
+    List<Map<String, Object>> idle = new ArrayList<>();
+    List<Map<String, Object>> busy = new ArrayList<>();
+    for (int engines : wanted.engines) {
+      try (GatewayRig rig = rig(engines)) {
+        warm(rig);
+        idle.add(row(engines + " engines, no statements", rig, wanted.seconds));
+        rig.clients().pace(wanted.rates[0], wanted.classes.get(0), Gaps.EVEN);
+        pause(wanted.settleS);
+        busy.add(row(engines + " engines, " + wanted.rates[0] + " a second", rig, wanted.seconds));
+        defects += rig.defects();
+      }
+    }
+    fit("fit no statements, cores", "cores", idle, wanted.engines, 1, r -> 0);
+    fit("fit " + wanted.rates[0] + " a second, cores", "cores", busy, wanted.engines, 1,
+        r -> number(r, "sent_per_s"));
+    fit("fit resident MB", "rss_mb", busy, wanted.engines, 1, r -> 0);
+  }
+
+  /** Memory and processor time of client connections, idle and at one statement in 5 s each. */
+  void connections() throws IOException, InterruptedException {
+    try (GatewayRig rig = rig(wanted.engines[0])) {
+      warm(rig);
+      rig.clients().hangUp();
+      int base = cleared(rig, 0);
+      Map<String, List<Map<String, Object>>> rows = new LinkedHashMap<>();
+      figures.put("live heap without connections", GatewayRig.rounded(rig.liveHeapMb(), 3));
+      row("without connections", rig, wanted.seconds);
+      for (int size : wanted.connections) {
+        for (String pattern : wanted.patterns) {
+          int up = rig.clients().open(size);
+          if (!pattern.equals("idle")) {
+            rig.clients().pace(size / GAP_S, wanted.classes.get(0),
+                pattern.equals("even") ? Gaps.EVEN : Gaps.RANDOM);
+          }
+          pause(pattern.equals("random") ? RANDOM_SETTLE_S : CONNECT_SETTLE_S);
+          Map<String, Object> row = row(size + " " + pattern, rig, wanted.seconds);
+          row.put("connections", up);
+          row.put("live_heap_mb", GatewayRig.rounded(rig.liveHeapMb(), 3));
+          rows.computeIfAbsent(pattern, p -> new ArrayList<>()).add(row);
+          rig.clients().hangUp();
+          cleared(rig, base);
+        }
+      }
+      rows.forEach((pattern, of) -> {
+        fit("fit " + pattern + ", cores", "cores", of, wanted.connections, 1, r -> 0);
+        fit("fit " + pattern + ", resident KB", "rss_mb", of, wanted.connections, KILOBYTES, r -> 0);
+        fit("fit " + pattern + ", live heap KB", "live_heap_mb", of, wanted.connections, KILOBYTES, r -> 0);
+        fit("fit " + pattern + ", descriptors", "descriptors", of, wanted.connections, 1, r -> 0);
+      });
+      defects += rig.defects();
+    }
+  }
+
+  /** Waits until the gateway has let go of its clients; gives its descriptors then. */
+  private static int cleared(GatewayRig rig, int base) throws IOException, InterruptedException {
+    long until = System.nanoTime() + CLEARED_MS * 1_000_000;
+    int last = Integer.MAX_VALUE;
+    int now = rig.counted().descriptors();
+    while ((now > base + CONNECTIONS || now < last) && System.nanoTime() < until) {
+      pause(1);
+      last = now;
+      now = rig.counted().descriptors();
+    }
+    return now;
+  }
+
+  /** Processor time of a connect with one short exchange, at several rates. */
+  void connects() throws IOException, InterruptedException {
+    try (GatewayRig rig = rig(wanted.engines[0])) {
+      warm(rig);
+      rig.clients().hangUp();
+      List<Map<String, Object>> rows = new ArrayList<>();
+      for (int rate : wanted.rates) {
+        rig.clients().connectsOnly(rate);
+        pause(wanted.settleS);
+        Map<String, Object> row = row(rate + " connects", rig, wanted.seconds);
+        row.put("us_per_connect", GatewayRig.rounded(number(row, "cores") / number(row, "connects_per_s")
+            * MICROSECONDS, 1));
+        rows.add(row);
+        rig.clients().hangUp();
+      }
+      fit("fit connects, cores", "cores", rows, wanted.rates, 1, r -> 0);
+      defects += rig.defects();
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/slopes/SlopesCommand.java
@@ -0,0 +1,135 @@
+package reachloom.lab.slopes;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import reachloom.lab.Lab;
+import reachloom.lab.fleet.FleetCommand;
+
+/** Measures what statements, connections and engines cost one gateway, a process of the program. */
+public final class SlopesCommand implements Lab.Command {
+  static final List<String> CLASSES = List.of("quick", "keyed", "once");
+  private static final List<String> PATTERNS = List.of("idle", "even", "random");
+  private static final List<String> KINDS = List.of("statements", "connections", "engines", "connects");
+  private static final int MOST_SIZES = 16;
+
+  @Override
+  public String purpose() {
+    return "what statements, connections and engines cost one gateway: a line through several sizes";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(null, "what", true, "one of " + String.join(", ", KINDS) + " (statements)")
+        .addOption(null, "rates", true, "statements, or connects, a second (200,500,1000,2000; for engines "
+            + "the first, 724)")
+        .addOption(null, "engines", true, "engines (12; for engines 12,60,150,300,630)")
+        .addOption(null, "connections", true, "connections of clients (500,1000,2000,4000)")
+        .addOption(null, "classes", true, "classes of statements (" + String.join(",", CLASSES) + ")")
+        .addOption(null, "patterns", true, "what connections do: idle; a statement in 5 s, even or random "
+            + "(idle,even)")
+        .addOption(null, "seconds", true, "how long each size is looked at (6)")
+        .addOption(null, "settle", true, "seconds before that (2)")
+        .addOption(null, "rounds", true, "of all rates, one after another; the middle one counts (1)")
+        .addOption(null, "warm", true, "seconds of statements before all (9)")
+        .addOption(null, "believed", true, "how many gateways the settings name; 0: 580 for 630 engines (1)")
+        .addOption(null, "idle-timeout-ms", true, "the settings' bound on idle clients (none: the gateway's)")
+        .addOption(null, "jar", true, "the program (the one built beside the laboratory)")
+        .addOption(null, "heap-mb", true, "heap of the gateway (64)")
+        .addOption(null, "seed", true, "for all that is drawn (1)")
+        .addOption(null, "json", true, "file for the figures")
+        .addOption(null, "logs", true, "folder for the gateway's files");
+  }
+
+  @Override
+  public int run(CommandLine line) throws Exception {
+    String what = line.getOptionValue("what", KINDS.get(0));
+    if (!KINDS.contains(what)) {
+      throw new ParseException("--what: '" + what + "' is not one of " + String.join(", ", KINDS));
+    }
+    boolean ofEngines = what.equals("engines");
+    int[] rates = numbers(line, "rates", ofEngines ? "724" : what.equals("connects") ? "100,200,400,800"
+        : "200,500,1000,2000", 20_000);
+    int[] engines = numbers(line, "engines", ofEngines ? "12,60,150,300,630" : "12", 1_000);
+    int[] connections = numbers(line, "connections", "500,1000,2000,4000", 4_900);
+    OptionalLong idle = line.hasOption("idle-timeout-ms")
+        ? OptionalLong.of(Lab.number(line, "idle-timeout-ms", 0, 1_000, 86_400_000)) : OptionalLong.empty();
+    boolean kept = line.hasOption("logs");
+    Path jar = FleetCommand.jar(line);
+    int heapMb = Lab.number(line, "heap-mb", 64, 16, 2_048);
+    int warmS = Lab.number(line, "warm", 9, 0, 60);
+    int settleS = Lab.number(line, "settle", 2, 0, 60);
+    int seconds = Lab.number(line, "seconds", 6, 1, 120);
+    int rounds = Lab.number(line, "rounds", 1, 1, 9);
+    List<String> classes = words(line, "classes", CLASSES, CLASSES);
+    List<String> patterns = words(line, "patterns", PATTERNS.subList(0, 2), PATTERNS);
+    int believed = Lab.number(line, "believed", 1, 0, 10_000);
+    int seed = Lab.number(line, "seed", 1, 0, Integer.MAX_VALUE);
+    Path folder = kept ? Files.createDirectories(Path.of(line.getOptionValue("logs")))
+        : Files.createTempDirectory("reachloom-slopes");
+    try {
+      Measurement m = new Measurement(new Measurement.Wanted(folder, jar, heapMb, warmS, settleS, seconds,
+          rounds, rates, engines, connections, classes, patterns, believed, idle, seed));
+      switch (what) {
+        case "statements" -> m.statements();
+        case "engines" -> m.engines();
+        case "connects" -> m.connects();
+        default -> m.connections();
+      }
+      Map<String, Object> origin = new LinkedHashMap<>();
+      origin.put("what", what);
+      origin.put("heap_mb", heapMb);
+      origin.put("believed", believed);
+      origin.put("idle_timeout_ms", idle.isPresent() ? idle.getAsLong() : "the gateway's own");
+      origin.put("seconds", seconds);
+      return Lab.tell(line, origin, m.figures());
+    } finally {
+      if (!kept) {
+        try (var files = Files.walk(folder)) {
+          files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+      }
+    }
+  }
+
+  private static int[] numbers(CommandLine line, String option, String standard, int most)
+      throws ParseException {
+    String text = line.getOptionValue(option, standard);
+    try {
+      int[] read = Arrays.stream(text.split(",", -1)).mapToInt(Integer::parseInt).toArray();
+      boolean rising = true;
+      for (int i = 1; i < read.length; i++) {
+        rising &= read[i] > read[i - 1];
+      }
+      if (rising && read.length <= MOST_SIZES && read[0] >= 1 && read[read.length - 1] <= most) {
+        return read;
+      }
+    } catch (NumberFormatException e) {
+      // told below
+    }
+    throw new ParseException("--" + option + ": '" + text + "' is not a rising list of whole numbers from 1"
+        + " to " + most + ", " + MOST_SIZES + " at most");
+  }
+
+  private static List<String> words(CommandLine line, String option, List<String> standard,
+      List<String> allowed) throws ParseException {
+    if (!line.hasOption(option)) {
+      return standard;
+    }
+    List<String> read = List.of(line.getOptionValue(option).split(",", -1));
+    if (!allowed.containsAll(read)) {
+      throw new ParseException("--" + option + ": '" + line.getOptionValue(option) + "' is not of "
+          + String.join(", ", allowed));
+    }
+    return read;
+  }
+}
