--- a/gateway/src/main/java/reachloom/config/SettingsFile.java
+++ b/gateway/src/main/java/reachloom/config/SettingsFile.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.ParserConfigurationException;
@@ -146,7 +147,11 @@
         gossip = Optional.of(gossip(e));
       }
     }
-    return new LocalSettings(gossip);
+    OptionalLong idle = OptionalLong.empty();
+    for (Element e : root.all("clients")) {
+      idle = OptionalLong.of(Long.parseLong(e.values.get("idleTimeoutMs")) * MILLISECOND);
+    }
+    return new LocalSettings(gossip, idle);
   }
 
   private GossipSettings gossip(Element e) throws ConfigException {
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/Server.java
@@ -74,6 +74,7 @@
   /** Serves until SIGTERM; gives the exit status. */
   public int run() throws InterruptedException {
     gateway = new Gateway(config, loop, Choice::new);
+    gateway.clientIdleTimeout(configuration.local().clientIdleTimeout());
     GossipSettings others = configuration.local().gossip().orElse(null);
     if (others != null && !joinOthers(others)) {
       return BAD_CONFIGURATION;
@@ -190,6 +191,7 @@
   private void takeOver(GatewayConfig next, LocalSettings nextLocal) {
     loop.post(0, () -> {
       gateway.reload(next);
+      gateway.clientIdleTimeout(nextLocal.clientIdleTimeout());
       if (gossip != null) {
         nextLocal.gossip().ifPresent(gossip::reload);
       }
