--- a/gateway/src/test/java/reachloom/gateway/HeldPeer.java
+++ b/gateway/src/test/java/reachloom/gateway/HeldPeer.java
@@ -67,6 +67,15 @@
       return lines;
     }
 
+    /** Bytes that are here and have not been read. */
+    int unread() {
+      try {
+        return in.available();
+      } catch (IOException e) {
+        return 0;
+      }
+    }
+
     long number() throws IOException {
       return new DataInputStream(in).readLong();
     }
--- /dev/null
+++ b/gateway/src/test/java/reachloom/gateway/OrdersGateway.java
@@ -0,0 +1,189 @@
+package reachloom.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Events;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.Settings;
+import reachloom.config.GatewayConfig;
+import reachloom.standin.NodeStandIn;
+import reachloom.standin.ThriftClient;
+
+/**
+ * A gateway on its loop, for tests that bring about an order of events: its module is the one handed in, or
+ * one that notes what it is told and sends where the test says.
+ */
+final class OrdersGateway implements AutoCloseable {
+  static final String ENGINE = "s-00000001";
+  static final String OTHER = "s-00000002";
+
+  final Loop loop = new Loop();
+  final GatewayConfig config;
+  final Gateway gateway;
+  final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+  Actions actions;
+  /** Where the noting module sends each query as it arrives; null for nowhere. */
+  volatile String sendTo;
+  /** Where it sends a query again as its attempt ends, within that event; null for nowhere. */
+  volatile String sendAgainTo;
+
+  /** A gateway with the noting module. */
+  OrdersGateway(Path folder, String text) throws Exception {
+    this(folder, text, null);
+    assertTrue(told.poll(20, TimeUnit.SECONDS) instanceof Settings);
+    assertTrue(told.poll(20, TimeUnit.SECONDS) instanceof List);
+  }
+
+  /** A gateway with a module of its own. */
+  OrdersGateway(Path folder, String text, Function<Actions, Events> module) throws Exception {
+    config = GatewayConfig.fromFile(Files.writeString(folder.resolve("config.json"), text), Map.of());
+    gateway = new Gateway(config, loop, a -> {
+      actions = a;
+      return module == null ? new Noting() : module.apply(a);
+    });
+    gateway.listen();
+    loop.post(0, gateway::start);
+    NodeStandIn.daemon(loop);
+  }
+
+  private final class Noting extends FrontsTest.Recorder {
+    Noting() {
+      super(told);
+    }
+
+    @Override
+    public void arrive(long now, Query query) {
+      super.arrive(now, query);
+      if (sendTo != null) {
+        actions.send(query.id(), sendTo, 0);
+      }
+    }
+
+    @Override
+    public void end(long now, AttemptEnd end) {
+      super.end(now, end);
+      if (sendAgainTo != null && !end.over() && end.attempt() == 0) {
+        actions.send(end.query(), sendAgainTo, 0);
+      }
+    }
+  }
+
+  <T> T next(Class<T> type) throws InterruptedException {
+    Object event = told.poll(20, TimeUnit.SECONDS);
+    assertTrue(type.isInstance(event), "told " + event + " for " + type.getSimpleName());
+    return type.cast(event);
+  }
+
+  void act(Runnable action) {
+    loop.post(0, action);
+  }
+
+  int held(String table) {
+    CompletableFuture<Integer> held = new CompletableFuture<>();
+    loop.post(0, () -> held.complete(gateway.held().get(table)));
+    return held.join();
+  }
+
+  static void await(BooleanSupplier wanted) throws InterruptedException {
+    for (int i = 0; i < 4_000 && !wanted.getAsBoolean(); i++) {
+      Thread.sleep(5);
+    }
+    assertTrue(wanted.getAsBoolean());
+  }
+
+  /** Holds the loop until the latch opens; returns once it is held. */
+  CountDownLatch hold() throws InterruptedException {
+    return holdAfter(() -> { });
+  }
+
+  /** Does something on the loop and holds it within the same turn, as a busy one is held. */
+  CountDownLatch holdAfter(Runnable action) throws InterruptedException {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    loop.post(0, () -> {
+      action.run();
+      held.countDown();
+      try {
+        go.await(20, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    assertTrue(held.await(10, TimeUnit.SECONDS));
+    return go;
+  }
+
+  /** While the loop is held: waits until that much waits for it, as an opening or an end of a connection. */
+  void awaitQueued(int wanted) throws Exception {
+    Field field = Loop.class.getDeclaredField("queue");
+    field.setAccessible(true);
+    Handover<?> queue = (Handover<?>) field.get(loop);
+    await(() -> queue.size() >= wanted);
+    assertEquals(wanted, queue.size());
+  }
+
+  /**
+   * While the loop is held: what was sent before has been read by the thread of the sockets. It goes round
+   * all connections: once a second message has been read, the round in which the first one was is over.
+   */
+  void allHasBeenRead() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      try (ThriftClient fence = new ThriftClient(config.listen())) {
+        int before = loop.waiting();
+        fence.execute("x".repeat(1_000), "verb", "strange");
+        await(() -> loop.waiting() >= before + 1_000);
+      }
+    }
+  }
+
+  /**
+   * While the loop runs: what was sent to the gateway before has been read and dealt with, and what it had
+   * handed to connections before is written as far as they take it.
+   */
+  void allHasBeenDealtWith() throws IOException {
+    for (int i = 0; i < 2; i++) {
+      try (ThriftClient fence = new ThriftClient(config.listen())) {
+        fence.check();
+      }
+    }
+  }
+
+  /** Nothing of that kind is told beside what was taken, though all that came has been dealt with. */
+  void nothingMore(Class<?> type) throws IOException {
+    allHasBeenDealtWith();
+    assertNull(told.stream().filter(type::isInstance).findFirst().orElse(null));
+  }
+
+  /** Nothing is kept of any client or request. */
+  void assertNothingKept() throws InterruptedException {
+    for (String table : List.of("requests", "ids", "clients", "statements", "unhanded")) {
+      await(() -> held(table) == 0);
+      assertEquals(0, held(table), table);
+    }
+  }
+
+  @Override
+  public void close() {
+    loop.post(0, () -> {
+      gateway.close();
+      loop.end();
+    });
+  }
+}
