Tests of clients that flood and go, speak in pieces or slowly, and of a burst after nothing

The stand-in of the change log speaks by the clock: its steps made a busy machine's log look silent.

--- a/gateway/src/test/java/reachloom/gateway/OrdersGateway.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersGateway.java
@@ -8,10 +8,13 @@
 import java.lang.reflect.Field;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -40,9 +43,12 @@
   final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
   Actions actions;
   /** Where the noting module sends each query as it arrives; null for nowhere. */
-  volatile String sendTo;
+  volatile Function<Query, String> sendTo = q -> null;
   /** Where it sends a query again as its attempt ends, within that event; null for nowhere. */
   volatile String sendAgainTo;
+  /** When each attempt began, by its query's id, and those that began after their client's going was told. */
+  final Map<String, Long> begun = new ConcurrentHashMap<>();
+  final Set<String> begunTooLate = ConcurrentHashMap.newKeySet();
 
   /** A gateway with the noting module. */
   OrdersGateway(Path folder, String text) throws Exception {
@@ -64,6 +70,8 @@
   }
 
   private final class Noting extends FrontsTest.Recorder {
+    private final Set<String> left = new HashSet<>();
+
     Noting() {
       super(told);
     }
@@ -71,9 +79,26 @@
     @Override
     public void arrive(long now, Query query) {
       super.arrive(now, query);
-      if (sendTo != null) {
-        actions.send(query.id(), sendTo, 0);
+      String engine = sendTo.apply(query);
+      if (engine != null) {
+        actions.send(query.id(), engine, 0);
+      }
+    }
+
+    @Override
+    public boolean mayStart(long now, String query, int attempt) {
+      begun.put(query, now);
+      if (left.contains(query)) {
+        begunTooLate.add(query);
       }
+      return true;
+    }
+
+    @Override
+    public void leave(long now, String query) {
+      super.leave(now, query);
+      left.add(query);
+      actions.cancel(query, 0);
     }
 
     @Override
--- a/gateway/src/test/java/reachloom/gateway/OrdersOfPeersTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfPeersTest.java
@@ -186,9 +186,7 @@
     InetSocketAddress address = changeLog.address();
     long start = System.nanoTime();
     for (int i = 0; i < 3; i++) {
-      Socket taken = changeLog.accept().socket; // nothing is read, nothing is said
-      taken.setSoLinger(i % 2 == 0, 0);
-      taken.close();
+      killUnread(changeLog.accept().socket, i % 2 == 0);
     }
     changeLog.close(); // and now also what only the system has accepted
     for (int i = 0; i < 2; i++) {
@@ -197,7 +195,7 @@
         again.setSoTimeout(10_000);
         try (Socket taken = again.accept()) {
           if (i == 0) {
-            taken.setSoLinger(true, 0);
+            killUnread(taken, true);
           } else {
             assertEquals(1, new DataInputStream(taken.getInputStream()).readLong(), "after the same event");
             taken.getOutputStream().write(up(3, other.address(), 0));
@@ -206,10 +204,18 @@
         }
       }
     }
-    // By silence alone each would have taken 2.5 s.
+    // By silence alone each of the four would have taken 2.5 s.
     assertTrue(System.nanoTime() - start < 9_000_000_000L);
   }
 
+  /** Ends a connection on which the other side is up and has spoken, with nothing read and nothing said. */
+  private static void killUnread(Socket taken, boolean reset) throws Exception {
+    Connection connection = new Connection(taken);
+    await(() -> connection.unread() > 0);
+    taken.setSoLinger(reset, 0);
+    taken.close();
+  }
+
   // ---- Half a line ----
 
   @ParameterizedTest
--- a/standin/src/main/java/reachloom/standin/ChangeLogStandIn.java
+++ b/standin/src/main/java/reachloom/standin/ChangeLogStandIn.java
@@ -17,6 +17,7 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final ServerSocket server;
   private final long first;
+  private volatile long pauseMs = 1_000;
 
   /** A log whose events follow the given number. */
   public ChangeLogStandIn(long first) throws IOException {
@@ -29,6 +30,11 @@
     return (InetSocketAddress) server.getLocalSocketAddress();
   }
 
+  /** From now on a frame comes at least so often, also where nothing is new. */
+  public void speaksEach(long ms) {
+    pauseMs = ms;
+  }
+
   /** Adds an event of one engine; state 0 is ready, 1 draining, 2 gone. */
   public void add(int id, NodeStandIn node, int state) {
     add(id, node, state, 0);
@@ -68,11 +74,13 @@
       long last = new DataInputStream(s.getInputStream()).readLong();
       hellos.add(last);
       int next = (int) (last - first);
-      for (int quiet = 0;; quiet++) {
+      // By the clock and not by its own steps, which a busy machine makes longer.
+      for (long spoke = System.nanoTime() - pauseMs * 1_000_000;;) {
         if (next < events.size()) {
           s.getOutputStream().write(events.get(next++));
           continue;
-        } else if (quiet % 20 == 0) {
+        } else if (System.nanoTime() - spoke >= pauseMs * 1_000_000) {
+          spoke = System.nanoTime();
           s.getOutputStream()
               .write(ByteBuffer.allocate(13).putInt(9).putLong(first + next).put((byte) 0).array());
         }
--- a/standin/src/main/java/reachloom/standin/NodeStandIn.java
+++ b/standin/src/main/java/reachloom/standin/NodeStandIn.java
@@ -70,6 +70,11 @@
     return sockets.size();
   }
 
+  /** How many of its connections neither side has ended. */
+  public long open() {
+    return sockets.stream().filter(s -> !s.isClosed()).count();
+  }
+
   private void accept() {
     try {
       while (true) {
