Pieces of one byte are read alone, and a client that spoke in pieces may rest

Bytes written one by one came together where the gateway was late; other clients' words between them make each be read alone.

--- a/gateway/src/test/java/reachloom/gateway/OrdersOfClientsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfClientsTest.java
@@ -184,10 +184,15 @@
     }
     assertEquals(Set.of(1, 4, 5, 6), whole.keySet(), "what was given up is owed nothing");
     assertEquals(NodeStandIn.ROW.repeat(6), whole.get(1).body());
-    try (ThriftClient c = new ThriftClient(gateway.config.listen())) {
+    try (ThriftClient c = new ThriftClient(gateway.config.listen());
+        ThriftClient fence = new ThriftClient(gateway.config.listen())) {
       for (byte[] message : words(0x200)) {
-        for (byte b : message) {
-          c.raw(new byte[] {b});
+        for (int i = 0; i < message.length; i++) {
+          c.raw(new byte[] {message[i]});
+          if (i <= Integer.BYTES || i % 16 == 0 || i == message.length - 2) {
+            fence.check(); // so that it is read alone, as in allHasBeenDealtWith
+            fence.check();
+          }
         }
       }
       assertEquals(whole, replies(c, 4));
@@ -302,8 +307,11 @@
 
   private void serveAfterIdling(String text, ChangeLogStandIn log, NodeStandIn late) throws Exception {
     Path own = Files.createDirectory(folder.resolve("idle"));
-    try (GatewayProcess process = new GatewayProcess(own, text)) {
-      process.ready().close();
+    try (GatewayProcess process = new GatewayProcess(own, text); ThriftClient resting = process.ready()) {
+      for (byte b : bytes(ThriftWords.check(1))) {
+        resting.raw(new byte[] {b});
+      }
+      assertTrue(resting.reply().good());
       burst(process);
       int hellos = log.hellos.size();
       long until = System.nanoTime() + 3_000 * MILLISECOND; // longer than a silent watch counts as alive
@@ -311,6 +319,7 @@
       int before = other.connections();
       burst(process);
       assertTrue(other.connections() > before, "by connections of its own");
+      assertEquals("ANSWER", resting.run("select 1", "limit", "20000").kind(), "one that has only rested");
       assertEquals(hellos, log.hellos.size(), "the watch was kept, since the log went on speaking");
       log.add(2, late, 0);
       log.add(1, other, 2);
