--- /dev/null
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -0,0 +1,152 @@
+package reachloom.revision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** Who else is there, what each is known to have, and who is not asked for a while. */
+final class Neighbours {
+  /** Another member that is present, with what its packets told. */
+  static final class Other {
+    final Peer peer;
+    long known;
+    long inForce;
+    long mark;
+    /** The newest revision that was sent to it, and when. */
+    long told;
+    long toldAt = Long.MIN_VALUE / 2;
+    /** How often it was reminded of the newest without a word of it. */
+    int reminders;
+
+    Other(Peer peer) {
+      this.peer = peer;
+    }
+  }
+
+  private static final class Rest {
+    private long until;
+    private int strikes;
+    private boolean lied;
+  }
+
+  private static final int MOST_OTHERS = 2_048; // as many as the table of members holds
+  private static final int MOST_RESTING = 256;
+  private static final long SECOND = 1_000_000_000; // nanoseconds
+  private static final long REST = 2 * SECOND; // after the first strike; an honest one had a packet lost
+  private static final int MOST_DOUBLINGS = 8; // 512 s
+
+  private final int place;
+  private final Set<String> issuers = new TreeSet<>();
+  private final SplittableRandom random;
+  private TreeMap<String, Other> others = new TreeMap<>();
+  private final TreeMap<Integer, List<Other>> places = new TreeMap<>();
+  private final TreeMap<String, Rest> resting = new TreeMap<>();
+
+  Neighbours(int place, List<Peer> issuers, SplittableRandom random) {
+    this.place = place;
+    issuers.forEach(i -> this.issuers.add(i.name()));
+    this.random = random;
+  }
+
+  void present(Collection<Peer> present) {
+    TreeMap<String, Other> now = new TreeMap<>();
+    places.clear();
+    for (Peer p : present) {
+      if (now.size() >= MOST_OTHERS) {
+        break;
+      }
+      Other old = others.get(p.name());
+      Other o = old != null && old.peer.equals(p) ? old : new Other(p);
+      now.put(p.name(), o);
+      if (!issuers.contains(p.name())) {
+        places.computeIfAbsent(p.place(), k -> new ArrayList<>()).add(o);
+      }
+    }
+    others = now;
+  }
+
+  boolean isIssuer(String name) {
+    return issuers.contains(name);
+  }
+
+  /** The member of that name, if it is present; else null. */
+  Other get(String name) {
+    return others.get(name);
+  }
+
+  /** The members of the own place, this one and issuers not among them. */
+  List<Other> zone() {
+    return places.getOrDefault(place, List.of());
+  }
+
+  /** The members by place, issuers not among them. */
+  Map<Integer, List<Other>> places() {
+    return places;
+  }
+
+  /** Some of those, drawn by chance. */
+  List<Other> draw(Collection<Other> of, int count, Predicate<Other> wanted) {
+    List<Other> open = new ArrayList<>(of.size());
+    for (Other o : of) {
+      if (wanted.test(o)) {
+        open.add(o);
+      }
+    }
+    List<Other> drawn = new ArrayList<>();
+    while (drawn.size() < count && !open.isEmpty()) {
+      int last = open.size() - 1;
+      Collections.swap(open, random.nextInt(last + 1), last);
+      drawn.add(open.remove(last));
+    }
+    return drawn;
+  }
+
+  /** That one did not do as it said: it is not asked for a time that doubles; who lied isn't heard either. */
+  void strike(long now, String name, boolean lied) {
+    Rest r = resting.get(name);
+    if (r == null) {
+      if (resting.size() >= MOST_RESTING) {
+        resting.remove(Collections.min(resting.entrySet(),
+            (a, b) -> Long.compare(a.getValue().until, b.getValue().until)).getKey());
+      }
+      r = new Rest();
+      resting.put(name, r);
+    }
+    r.until = now + (REST << Math.min(r.strikes++, MOST_DOUBLINGS));
+    r.lied |= lied;
+  }
+
+  /** That one did as it said: what was lost before is forgotten, a lie is not. */
+  void good(String name) {
+    Rest r = resting.get(name);
+    if (r != null && !r.lied) {
+      resting.remove(name);
+    }
+  }
+
+  boolean rests(long now, String name) {
+    Rest r = resting.get(name);
+    return r != null && now < r.until;
+  }
+
+  boolean isLiar(long now, String name) {
+    return rests(now, name) && resting.get(name).lied;
+  }
+
+  /** After a standstill the time that passed is nobody's. */
+  void shift(long by) {
+    resting.values().forEach(r -> r.until += by);
+  }
+
+  List<String> resting(long now) {
+    return resting.entrySet().stream().filter(e -> now < e.getValue().until)
+        .map(e -> e.getKey() + (e.getValue().lied ? " (told what is not so)" : "")).toList();
+  }
+}
