--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import reachloom.revision.Neighbours.Other;
 import reachloom.state.TokenBucket;
 
@@ -181,8 +182,9 @@
   /** What rides on each packet of this member. */
   public Word.Have have() {
     RevisionLog.Entry in = log.inForce();
+    RevisionLog.Entry held = log.newestHeld();
     return new Word.Have(in == null ? 0 : in.revision().number(), in == null ? 0 : in.mark(),
-        log.newestNumber());
+        held == null ? 0 : held.revision().number());
   }
 
   // ---- What comes ----
@@ -232,6 +234,8 @@
     long newest = log.newestNumber();
     if (h.known() > newest) {
       ask(now, sender, h.known());
+    } else if (h.known() == newest && fetch != null) {
+      source(now, sender);
     } else if (h.known() < newest && !busy() && (isOfZone(sender) || issuer && now - learntAt > GRACE)) {
       owe(now, sender);
     }
@@ -248,7 +252,8 @@
   private void owe(long now, Peer peer) {
     Other o = neighbours.get(peer.name());
     boolean justTold = o != null && o.told == log.newestNumber() && now - o.toldAt < RETELL;
-    if (log.newest() != null && owed.size() < MOST_OWED && !justTold) {
+    // Who tells of one has its document: the other will ask for that next.
+    if (log.newest() != null && log.newest().document() != null && owed.size() < MOST_OWED && !justTold) {
       owed.put(peer.name(), peer);
     }
   }
@@ -597,7 +602,7 @@
       }
     }
     for (Peer p : List.copyOf(owed.values())) {
-      if (!tellNewest(now, p)) {
+      if (log.newest().document() == null || !tellNewest(now, p)) {
         break;
       }
       owed.remove(p.name());
@@ -656,32 +661,28 @@
     }
   }
 
-  /** Whom to ask for a document: who told of it and then who has it, the own zone first; last the issuers. */
+  /** Whom to ask for a document: who has it, the own zone first, then issuers, then others. */
   private Peer whom(long now, Fetch f) {
-    List<Peer> told = sources.values().stream().filter(p -> !neighbours.rests(now, p.name())).toList();
-    for (Peer p : told) {
-      if (isOfZone(p)) {
-        return p;
-      }
-    }
-    List<Other> near = neighbours.draw(neighbours.zone(), 1, o -> has(now, o, f));
-    if (!near.isEmpty()) {
-      return near.get(0).peer;
-    }
-    if (!told.isEmpty()) {
-      return told.get(0);
-    }
-    for (List<Other> p : neighbours.places().values()) {
-      List<Other> far = neighbours.draw(p, 1, o -> has(now, o, f));
-      if (!far.isEmpty()) {
-        return far.get(0).peer;
-      }
+    Peer near = some(now, neighbours.zone(), f, this::isOfZone);
+    // Where many want a large one, the first of a zone to have it can't serve them all: every other one asks
+    // an issuer.
+    Peer issuing = near == null || f.peersTried % 2 == 1 ? anIssuer(now) : null;
+    if (issuing != null || near != null) {
+      return issuing != null ? issuing : near;
     }
-    return anIssuer(now);
+    return some(now, List.of(), f, p -> true);
+  }
+
+  /** One of those that have it, or told of it, by chance. */
+  private Peer some(long now, List<Other> of, Fetch f, Predicate<Peer> wanted) {
+    List<Peer> open = new ArrayList<>();
+    sources.values().stream().filter(wanted).filter(p -> !neighbours.rests(now, p.name())).forEach(open::add);
+    neighbours.draw(of, 1, o -> has(now, o, f)).forEach(o -> open.add(o.peer));
+    return open.isEmpty() ? null : open.get(random.nextInt(open.size()));
   }
 
   private boolean has(long now, Other o, Fetch f) {
-    return o.inForce == f.revision.number() && o.mark == f.mark && !neighbours.rests(now, o.peer.name());
+    return o.known == f.revision.number() && !neighbours.rests(now, o.peer.name());
   }
 
   private boolean tell(long now, Peer to, Word word) {
@@ -780,6 +781,11 @@
 
   /** The council of this issuer knows a revision to be decided, or has found it in its store at a start. */
   public void proved(long now, Revision revision, List<Vote> votes, byte[] document) {
+    if (!sane(revision, votes) || !revision.describes(document)) {
+      host.alarm(now, "revision " + revision.number() + " is not issued: its document has " + document.length
+          + " bytes, of " + Revision.MOST_DOCUMENT + " at most, or is not the one that it names");
+      return;
+    }
     RevisionLog.Standing standing = log.judge(revision);
     if (standing == RevisionLog.Standing.FORK) {
       forked(now, revision);
--- a/decisions/src/main/java/reachloom/revision/Word.java
+++ b/decisions/src/main/java/reachloom/revision/Word.java
@@ -7,8 +7,8 @@
  */
 public sealed interface Word {
   /**
-   * What the sender has in force, by number and mark, and the newest number that it knows to be issued; 0 for
-   * none. Rides on each packet.
+   * What the sender has in force, by number and mark, and the newest number that it holds with its document;
+   * 0 for none. Rides on each packet.
    */
   record Have(long inForce, long mark, long known) implements Word {
   }
--- /dev/null
+++ b/decisions/src/test/java/reachloom/revision/DeltaTest.java
@@ -0,0 +1,41 @@
+package reachloom.revision;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class DeltaTest {
+  @Test
+  void makesOneDocumentOfAnother() {
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < 2_000; i++) {
+      byte[] base = new byte[random.nextInt(40)];
+      byte[] target = new byte[random.nextInt(40)];
+      random.nextBytes(base);
+      random.nextBytes(target);
+      System.arraycopy(base, 0, target, 0, Math.min(base.length, random.nextInt(target.length + 1)));
+      assertArrayEquals(target, Delta.apply(base, Delta.encode(base, target)));
+    }
+    byte[] repeats = new byte[30];
+    byte[] longer = new byte[50];
+    assertArrayEquals(longer, Delta.apply(repeats, Delta.encode(repeats, longer)));
+    assertEquals(9, Delta.encode(Net.document(9_000, 1), Net.document(9_000, 2)).length);
+  }
+
+  @Test
+  void nonsenseMakesNothing() {
+    byte[] base = new byte[100];
+    assertNull(Delta.apply(base, new byte[7]));
+    for (int[] ends : new int[][] {{-1, 0}, {0, -1}, {101, 0}, {60, 41}, {Integer.MAX_VALUE, 1}, {1, 1 << 31}}) {
+      assertNull(Delta.apply(base, ByteBuffer.allocate(8).putInt(ends[0]).putInt(ends[1]).array()),
+          Arrays.toString(ends));
+    }
+    assertNull(Delta.apply(base, new byte[8 + Revision.MOST_DOCUMENT + 1]), "too large");
+    assertEquals(Revision.MOST_DOCUMENT, Delta.apply(base, new byte[8 + Revision.MOST_DOCUMENT]).length);
+  }
+}
--- a/decisions/src/test/java/reachloom/revision/Net.java
+++ b/decisions/src/test/java/reachloom/revision/Net.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -255,6 +254,11 @@
   Word.Notice issue(int by, byte[] document) {
     Word.Notice before = nodes.get(by).it.newest();
     Word.Notice n = sign(before == null ? null : before.revision(), document);
+    for (int i = 0; i < issuers.size(); i++) {
+      if (i == by || nodes.get(i).up && !cut.test(nodes.get(by), nodes.get(i))) { // who accepts holds it
+        nodes.get(i).it.draft(n.revision(), document);
+      }
+    }
     nodes.get(by).it.proved(now, n.revision(), n.votes(), document);
     return n;
   }
@@ -290,9 +294,4 @@
     return issuer.it.censuses().stream().filter(c -> c.number() == number).mapToInt(Word.Census::inForce).sum();
   }
 
-  static Map<String, Integer> count(List<String> lines) {
-    Map<String, Integer> counts = new LinkedHashMap<>();
-    lines.forEach(l -> counts.merge(l, 1, Integer::sum));
-    return counts;
-  }
 }
