--- a/decisions/src/main/java/reachloom/revision/Revision.java
+++ b/decisions/src/main/java/reachloom/revision/Revision.java
@@ -21,10 +21,15 @@
 
   /** The revision that follows {@code before} (null for the first of a log) with that document. */
   public static Revision after(Revision before, byte[] document, long issuedAt, String issuer) {
-    return new Revision(before == null ? 1 : before.number + 1, before == null ? ROOT : before.chain(),
+    return new Revision(before == null ? 1 : before.number + 1, chain(before),
         hash(document), document.length, issuedAt, issuer);
   }
 
+  /** What the revision after that one names as the one before; null stands for none. */
+  public static byte[] chain(Revision of) {
+    return of == null ? ROOT.clone() : of.chain();
+  }
+
   /** What is signed, and what the next revision names: SHA-256 over all fields, the one before included. */
   public byte[] chain() {
     byte[] name = issuer.getBytes(StandardCharsets.UTF_8);
@@ -53,7 +58,8 @@
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof Revision r && Arrays.equals(chain(), r.chain());
+    return other == this
+        || other instanceof Revision r && number == r.number && Arrays.equals(chain(), r.chain());
   }
 
   @Override
--- /dev/null
+++ b/decisions/src/test/java/reachloom/revision/CouncilTest.java
@@ -0,0 +1,497 @@
+package reachloom.revision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import reachloom.revision.Result.Kind;
+
+/** Issuers that find one revision after another, under all that a network and machines do to them. */
+class CouncilTest {
+  private static final long MILLISECOND = Issuers.MILLISECOND;
+  private static final long SECOND = Issuers.SECOND;
+  private static final int SEEDS = 300;
+  private static final int LONG_SEEDS = 150; // of those that go through many steps each
+
+  private static Kind last(List<Result> results) {
+    return results.isEmpty() ? null : results.get(results.size() - 1).kind();
+  }
+
+  private static boolean over(List<Result> results) {
+    return !results.isEmpty() && results.get(results.size() - 1).last();
+  }
+
+  /** A result that was told holds: what is called issued is in the log, and nothing else of it is. */
+  private static void told(Issuers net, String document, List<Result> results) {
+    long in = net.log.values().stream().filter(r -> r.describes(document.getBytes())).count();
+    for (Result r : results) {
+      if (r.kind() == Kind.ISSUED) {
+        assertEquals(1, in, document + " was told to be issued");
+        assertTrue(net.log.get(r.number()).describes(document.getBytes()));
+      } else if (r.last() && r.kind() != Kind.OVERTAKEN) {
+        assertEquals(0, in, document + ": " + r);
+      }
+    }
+    assertTrue(in <= 1, document + " was issued twice");
+    assertTrue(results.size() <= 2, "told more than twice: " + results);
+  }
+
+  @Test
+  void oneDocumentIsIssuedAndTheNextFollows() {
+    Issuers net = new Issuers(5, 1);
+    List<Result> first = net.node(1).propose("{\"a\":1}");
+    assertTrue(net.await(SECOND, () -> over(first)));
+    assertEquals(new Result(Kind.ISSUED, 1, "issued as revision 1"), first.get(0));
+    List<Result> second = net.node(3).propose("{\"a\":2}");
+    assertTrue(net.await(SECOND, () -> over(second)));
+    assertEquals(2, second.get(0).number());
+    assertTrue(net.await(2 * SECOND, net::agree));
+    assertEquals("{\"a\":2}", net.node(5).document());
+    assertEquals(2, net.node(5).council.number());
+  }
+
+  @Test
+  void oneIssuerAloneIssuesAtOnce() {
+    Issuers net = new Issuers(1, 1);
+    assertEquals(Kind.ISSUED, last(net.node(1).propose("x")));
+    assertEquals(Kind.ISSUED, last(net.node(1).propose("y")));
+    assertEquals(2, net.node(1).number());
+  }
+
+  @Test
+  void twoSourcesAtOnceComeInOneOrderAndBothEndsKnow() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Issuers net = new Issuers(5, seed);
+      net.loss = seed % 3 * 0.1;
+      net.copies = 0.1;
+      net.refusing = seed % 2 * 0.1;
+      net.delay = (1 + seed % 5 * 40) * MILLISECOND;
+      List<Result> one = net.node(1).propose("one");
+      List<Result> two = net.node(2).propose("two");
+      assertTrue(net.await(20 * SECOND, () -> over(one) && over(two) && net.agree()), "seed " + seed);
+      told(net, "one", one);
+      told(net, "two", two);
+      assertEquals(Kind.ISSUED, last(one), "seed " + seed);
+      assertEquals(Kind.ISSUED, last(two), "seed " + seed);
+      assertEquals(2, net.log.size(), "seed " + seed);
+    }
+  }
+
+  @Test
+  void tenInARowIssueTheNewestAndSayWhichWereSkipped() {
+    for (int seed = 0; seed < SEEDS / 10; seed++) {
+      Issuers net = new Issuers(5, seed);
+      net.delay = 50 * MILLISECOND;
+      net.loss = 0.05;
+      List<List<Result>> all = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        all.add(net.node(1).propose("document " + i));
+        net.pass(200 * MILLISECOND);
+      }
+      assertTrue(net.await(20 * SECOND, () -> all.stream().allMatch(CouncilTest::over) && net.agree()));
+      for (int i = 0; i < 10; i++) {
+        told(net, "document " + i, all.get(i));
+      }
+      assertEquals(Kind.ISSUED, last(all.get(9)), "seed " + seed);
+      assertEquals("document 9", net.node(4).document());
+    }
+  }
+
+  @Test
+  void whatASourceKilledHalfWayHadProposedIsFinishedOrNeverProved() {
+    int finished = 0;
+    int dropped = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Issuers net = new Issuers(5, seed);
+      net.loss = seed % 4 * 0.1;
+      net.delay = 20 * MILLISECOND;
+      net.node(1).propose("half");
+      net.pass(net.random.nextLong(200) * MILLISECOND); // in any phase
+      net.node(1).crash();
+      boolean decided = net.log.containsKey(1L);
+      List<Result> next = net.node(2).propose("next");
+      assertTrue(net.await(20 * SECOND, () -> over(next) && net.agree()), "seed " + seed);
+      assertEquals(Kind.ISSUED, last(next), "seed " + seed);
+      told(net, "next", next);
+      assertEquals("next", net.node(3).document(), "seed " + seed);
+      boolean there = net.log.size() == 2;
+      assertTrue(there || !decided, "seed " + seed);
+      finished += there ? 1 : 0;
+      dropped += there ? 0 : 1;
+      net.node(1).start(); // with its store, and what lies there
+      assertTrue(net.await(20 * SECOND, net::agree), "seed " + seed);
+      assertEquals(there ? 2 : 1, net.log.size(), "seed " + seed);
+    }
+    assertTrue(finished > SEEDS / 10 && dropped > SEEDS / 10, finished + " finished, " + dropped + " not");
+  }
+
+  @Test
+  void killedBeforeAnyAcceptedIsNeverProved() {
+    Issuers net = new Issuers(5, 1);
+    net.node(1).gagged = w -> w instanceof Word.Propose;
+    net.node(1).propose("half");
+    net.pass(SECOND);
+    net.node(1).crash();
+    net.pass(20 * SECOND);
+    assertEquals(0, net.log.size());
+    net.node(2).propose("next");
+    assertTrue(net.await(SECOND, () -> net.log.size() == 1));
+    assertTrue(net.log.get(1L).describes("next".getBytes()));
+    net.node(1).gagged = w -> false;
+    net.node(1).start();
+    net.pass(20 * SECOND);
+    assertEquals(1, net.log.size());
+  }
+
+  @Test
+  void killedAfterOneAcceptedIsFinishedByTheNextWhoHearsOfIt() {
+    Issuers net = new Issuers(3, 1);
+    net.node(1).gagged = w -> w instanceof Word.Notice;
+    net.node(3).gagged = w -> w instanceof Word.Accepted || w instanceof Word.Promise;
+    net.node(2).gagged = w -> w instanceof Word.Accepted;
+    net.node(1).propose("half");
+    assertTrue(net.await(SECOND, () -> net.node(2).disk.state.accepted() != null));
+    net.node(1).crash();
+    net.node(3).gagged = w -> false;
+    net.node(2).gagged = w -> false;
+    List<Result> next = net.node(3).propose("next");
+    assertTrue(net.await(5 * SECOND, () -> over(next)));
+    assertEquals(2, next.get(0).number());
+    assertTrue(net.log.get(1L).describes("half".getBytes()));
+    assertEquals("c1", net.log.get(1L).issuer());
+  }
+
+  @Test
+  void killedAfterAMajorityAcceptedIsFinishedWithoutANewDocument() {
+    for (int seed = 0; seed < 20; seed++) {
+      Issuers net = new Issuers(5, seed);
+      for (int i = 2; i <= 5; i++) {
+        net.node(i).gagged = w -> w instanceof Word.Accepted;
+      }
+      net.node(1).propose("half");
+      assertTrue(net.await(SECOND, () -> net.nodes.values().stream()
+          .filter(n -> n.disk.state.accepted() != null).count() >= 3));
+      net.node(1).crash();
+      net.nodes.values().forEach(n -> n.gagged = w -> false);
+      assertTrue(net.await(8 * SECOND, () -> net.log.size() == 1 && net.agree()), "seed " + seed);
+      assertEquals("half", net.node(4).document());
+      net.pass(10 * SECOND);
+      assertEquals(1, net.log.size());
+    }
+  }
+
+  @Test
+  void oneThatStoodStillCannotIssueWhatItHad() {
+    for (int seed = 0; seed < 50; seed++) {
+      Issuers net = new Issuers(5, seed);
+      net.delay = 40 * MILLISECOND;
+      List<Result> old = net.node(1).propose("old");
+      net.pass(net.random.nextLong(60) * MILLISECOND);
+      net.stand(1);
+      List<Result> young = net.node(2).propose("young");
+      assertTrue(net.await(10 * SECOND, () -> over(young)), "seed " + seed);
+      int before = net.log.size();
+      net.pass(20 * SECOND);
+      net.goOn(1);
+      net.pass(20 * SECOND);
+      assertEquals(before, net.log.size(), "seed " + seed);
+      assertEquals("young", net.node(1).document(), "seed " + seed);
+      assertTrue(over(old), "seed " + seed + ": " + old);
+      told(net, "old", old);
+      told(net, "young", young);
+    }
+  }
+
+  @Test
+  void oneAloneThatStoodStillDoesNotProposeWhatWaited() {
+    Issuers net = new Issuers(5, 1);
+    net.nodes.values().forEach(n -> n.gagged = w -> w instanceof Word.Promise);
+    List<Result> old = net.node(1).propose("old");
+    net.pass(100 * MILLISECOND);
+    net.stand(1);
+    net.pass(5 * SECOND);
+    net.nodes.values().forEach(n -> n.gagged = w -> false);
+    net.goOn(1);
+    net.pass(30 * SECOND);
+    assertEquals(Kind.STOOD_STILL, last(old));
+    assertEquals(0, old.get(0).number());
+    assertEquals(0, net.log.size());
+  }
+
+  @Test
+  void withOneOrTwoOfFiveLostIssuesGoOn() {
+    Issuers net = new Issuers(5, 1);
+    net.node(5).crash();
+    List<Result> one = net.node(1).propose("one");
+    assertTrue(net.await(SECOND, () -> over(one)));
+    net.node(4).crash();
+    List<Result> two = net.node(2).propose("two");
+    assertTrue(net.await(SECOND, () -> over(two)));
+    assertEquals(Kind.ISSUED, last(one));
+    assertEquals(Kind.ISSUED, last(two));
+    net.node(4).start();
+    net.node(5).start();
+    assertTrue(net.await(3 * SECOND, net::agree));
+    assertEquals(2, net.node(5).council.number());
+    List<Result> three = net.node(5).propose("three");
+    assertTrue(net.await(SECOND, () -> over(three)));
+    assertEquals(3, three.get(0).number());
+  }
+
+  @Test
+  void withThreeOfFiveLostItSaysSoAndGoesOnOnceTheyAreBack() {
+    Issuers net = new Issuers(5, 1);
+    for (int i = 3; i <= 5; i++) {
+      net.node(i).crash();
+    }
+    List<Result> lost = net.node(1).propose("lost");
+    assertTrue(net.await(10 * SECOND, () -> !lost.isEmpty()));
+    assertEquals(Kind.NO_MAJORITY, last(lost));
+    assertTrue(over(lost), "it was never proposed");
+    net.pass(20 * SECOND);
+    for (int i = 3; i <= 5; i++) {
+      net.node(i).start();
+    }
+    net.pass(20 * SECOND);
+    assertEquals(0, net.log.size(), "withdrawn is withdrawn");
+    List<Result> next = net.node(1).propose("next");
+    assertTrue(net.await(SECOND, () -> over(next)));
+    assertEquals(Kind.ISSUED, last(next));
+  }
+
+  @Test
+  void whatWasProposedBeforeTheMajorityWasLostIsToldTwice() {
+    Issuers net = new Issuers(5, 1);
+    for (int i = 2; i <= 5; i++) {
+      net.node(i).gagged = w -> w instanceof Word.Accepted;
+    }
+    List<Result> unsure = net.node(1).propose("unsure");
+    assertTrue(net.await(10 * SECOND, () -> !unsure.isEmpty()));
+    assertEquals(Kind.NO_MAJORITY, last(unsure));
+    assertEquals(1, unsure.get(0).number());
+    assertFalse(over(unsure));
+    net.nodes.values().forEach(n -> n.gagged = w -> false);
+    assertTrue(net.await(10 * SECOND, () -> over(unsure)));
+    assertEquals(new Result(Kind.ISSUED, 1, "issued as revision 1"), unsure.get(1));
+  }
+
+  @Test
+  void aStoreThatCannotBeWrittenGivesNoVote() {
+    Issuers net = new Issuers(3, 1);
+    net.node(2).disk.broken = true;
+    net.node(3).disk.broken = true;
+    List<Result> none = net.node(1).propose("none");
+    net.pass(9 * SECOND);
+    assertEquals(Kind.NO_MAJORITY, last(none));
+    assertEquals(0, net.log.size());
+    net.node(3).disk.broken = false;
+    List<Result> one = net.node(1).propose("one");
+    assertTrue(net.await(2 * SECOND, () -> over(one)));
+    assertEquals(Kind.ISSUED, last(one));
+    assertNull(net.node(2).disk.state.newest());
+    assertEquals(0, net.node(2).council.number(), "what is not saved counts as unknown");
+    List<Result> refused = net.node(2).propose("refused");
+    assertEquals(Kind.NOT_SAVED, last(refused));
+    assertTrue(over(refused));
+    net.node(2).disk.broken = false;
+    assertTrue(net.await(2 * SECOND, net::agree));
+    assertEquals(1, net.node(2).council.number());
+  }
+
+  @Test
+  void theLargestDocumentIsIssuedAndOneByteMoreIsNot() {
+    Issuers net = new Issuers(5, 1);
+    List<Result> over = net.node(1).propose(new byte[Revision.MOST_DOCUMENT + 1]);
+    assertEquals(Kind.BAD_SIZE, last(over));
+    assertTrue(over.get(0).text().contains("16385 bytes"), over.get(0).text());
+    assertEquals(Kind.BAD_SIZE, last(net.node(1).propose(new byte[0])));
+    List<Result> most = net.node(1).propose(new byte[Revision.MOST_DOCUMENT]);
+    assertTrue(net.await(SECOND, () -> over(most)));
+    assertEquals(Kind.ISSUED, last(most));
+    assertTrue(net.await(2 * SECOND, net::agree));
+    assertEquals(Revision.MOST_DOCUMENT, net.node(5).document(net.log.get(1L)).length);
+  }
+
+  @Test
+  void oneThatLostItsStoreVotesOnlyAfterWhatItMayHaveForgotten() {
+    Issuers net = new Issuers(3, 1);
+    assertTrue(issue(net, 1, "one"));
+    net.node(3).crash();
+    net.node(3).disk.state = null;
+    net.node(3).start();
+    assertEquals(Kind.ABSTAINS, last(net.node(3).propose("no")));
+    net.pass(70 * SECOND);
+    assertEquals(4, net.node(3).disk.state.from());
+    assertEquals(1, net.node(3).council.number(), "it learns all the same");
+    net.node(2).crash(); // two of three are up, and one of them abstains
+    List<Result> none = net.node(1).propose("none");
+    net.pass(9 * SECOND);
+    assertEquals(Kind.NO_MAJORITY, last(none));
+    net.node(2).start();
+    assertTrue(issue(net, 1, "two"));
+    assertTrue(issue(net, 1, "three"));
+    assertTrue(net.await(2 * SECOND, net::agree));
+    net.node(2).crash();
+    assertTrue(issue(net, 3, "four"));
+    assertEquals(4, net.node(1).number());
+  }
+
+  private static boolean issue(Issuers net, int at, String document) {
+    List<Result> results = net.node(at).propose(document);
+    return net.await(5 * SECOND, () -> over(results)) && last(results) == Kind.ISSUED;
+  }
+
+  @Test
+  void oneThatWasFarBehindCatchesUpBeforeItProposes() {
+    Issuers net = new Issuers(5, 1);
+    net.node(5).crash();
+    for (int i = 1; i <= 6; i++) {
+      assertTrue(issue(net, 1, "document " + i));
+    }
+    net.node(5).start();
+    List<Result> late = net.node(5).propose("late");
+    assertTrue(net.await(2 * SECOND, () -> over(late)));
+    assertEquals(7, late.get(0).number());
+  }
+
+  @Test
+  void aRoundOutOfReachAndAForeignBallotAreNotPromised() {
+    Issuers net = new Issuers(3, 1);
+    Peer c2 = net.node(2).peer();
+    net.node(1).council.hear(net.now, c2, List.of(new Word.Prepare(new Ballot(1L << 62, "c2"), 1)));
+    net.node(1).council.hear(net.now, c2, List.of(new Word.Prepare(new Ballot(9, "c3"), 1)));
+    net.node(1).council.hear(net.now, new Peer("stranger", 9, 0),
+        List.of(new Word.Prepare(new Ballot(9, "stranger"), 1)));
+    assertEquals(Ballot.NONE, net.node(1).disk.state.promised());
+    assertTrue(issue(net, 1, "one"));
+  }
+
+  @Test
+  void votesOfAnotherBallotAndForgedOnesDoNotCount() {
+    Issuers net = new Issuers(3, 1);
+    net.node(2).gagged = w -> w instanceof Word.Accepted;
+    net.node(3).gagged = w -> w instanceof Word.Accepted;
+    net.node(1).propose("one");
+    assertTrue(net.await(SECOND, () -> net.node(2).disk.state.accepted() != null));
+    Store.State s = net.node(2).disk.state;
+    Vote forged = new Vote("c2", new byte[32]);
+    Peer c2 = net.node(2).peer();
+    net.node(1).council.hear(net.now, c2, List.of(new Word.Accepted(s.acceptedUnder(), 1, forged)));
+    assertEquals(0, net.log.size());
+    byte[] good = new Acceptor("c2", signer(), net.node(2).disk).state().accepted().chain();
+    Vote vote = new Vote("c2", signer().sign(good));
+    Ballot other = new Ballot(s.acceptedUnder().round() + 1, "c1");
+    net.node(1).council.hear(net.now, c2, List.of(new Word.Accepted(other, 1, vote)));
+    assertEquals(0, net.log.size());
+    net.node(1).council.hear(net.now, c2, List.of(new Word.Accepted(s.acceptedUnder(), 1, vote)));
+    assertEquals(1, net.log.size());
+  }
+
+  private static Seal signer() {
+    return Issuers.seal("c2");
+  }
+
+  @Test
+  void issuersThatLoseTheirStoresOneAfterAnotherBringNoFork() {
+    int back = 0;
+    for (int seed = 0; seed < LONG_SEEDS / 4; seed++) {
+      Issuers net = new Issuers(3 + 2 * (seed % 2), seed);
+      SplittableRandom chance = new SplittableRandom(seed);
+      int count = net.nodes.size();
+      Issuers.Node lost = null;
+      for (int step = 0; step < 8; step++) {
+        net.loss = chance.nextDouble() * 0.3;
+        net.delay = (1 + chance.nextInt(100)) * MILLISECOND;
+        for (int i = 0; i < 3; i++) {
+          net.node(1 + chance.nextInt(count)).propose("document " + step + " " + i);
+          net.pass(chance.nextInt(150) * MILLISECOND);
+        }
+        Issuers.Node n = net.node(1 + chance.nextInt(count));
+        boolean others = net.nodes.values().stream().allMatch(o -> o.disk.takesPart());
+        n.crash();
+        n.disk.state = others ? null : n.disk.state;
+        n.start();
+        net.node(1 + chance.nextInt(count)).propose("document " + step);
+        net.pass(chance.nextInt(3) == 0 ? 65 * SECOND : chance.nextInt(3_000) * MILLISECOND);
+        lost = others ? n : lost;
+        if (lost != null && lost.disk.takesPart()) {
+          back++;
+          lost = null;
+        }
+      }
+      net.loss = 0;
+      net.pass(65 * SECOND);
+      Issuers.Node sound = net.nodes.values().stream().filter(n -> n.disk.takesPart()).findFirst()
+          .orElseThrow();
+      List<Result> end = sound.propose("the end");
+      assertTrue(net.await(20 * SECOND, () -> last(end) == Kind.ISSUED && net.agree()), "seed " + seed);
+    }
+    assertTrue(back > LONG_SEEDS / 8, back + " came back");
+  }
+
+  @Test
+  void whateverHappensNoNumberHasTwoChains() {
+    int issued = 0;
+    for (int seed = 0; seed < LONG_SEEDS; seed++) {
+      Issuers net = new Issuers(seed % 2 == 0 ? 5 : 3, seed);
+      SplittableRandom chance = new SplittableRandom(seed);
+      int count = net.nodes.size();
+      net.copies = 0.1;
+      List<List<Result>> all = new ArrayList<>();
+      for (int step = 0; step < 40; step++) {
+        net.loss = chance.nextDouble() * 0.4;
+        net.delay = (1 + chance.nextInt(150)) * MILLISECOND;
+        Issuers.Node n = net.node(1 + chance.nextInt(count));
+        switch (chance.nextInt(8)) {
+          case 0 -> n.crash();
+          case 1 -> {
+            if (n.council != null) {
+              net.stand(Integer.parseInt(n.name.substring(1)));
+            }
+          }
+          case 2 -> net.cut(1 + chance.nextInt(count), 1 + chance.nextInt(count));
+          case 3 -> net.heal();
+          case 4 -> n.disk.broken = chance.nextBoolean();
+          default -> {
+            if (n.council != null && !n.standing) {
+              all.add(n.propose("document " + all.size()));
+            }
+          }
+        }
+        net.pass(chance.nextInt(800) * MILLISECOND);
+        for (int i = 1; i <= count; i++) {
+          if (chance.nextInt(3) == 0) {
+            if (net.node(i).council == null) {
+              net.node(i).standing = false;
+              net.node(i).start();
+            }
+            net.goOn(i);
+          }
+        }
+      }
+      net.heal();
+      net.loss = 0;
+      for (int i = 1; i <= count; i++) {
+        net.node(i).disk.broken = false;
+        if (net.node(i).council == null) {
+          net.node(i).start();
+        }
+        net.goOn(i);
+      }
+      net.pass(10 * SECOND);
+      List<Result> end = net.node(1).propose("the end");
+      assertTrue(net.await(20 * SECOND, () -> last(end) == Kind.ISSUED && net.agree()),
+          "seed " + seed + ": " + end);
+      for (int i = 0; i < all.size(); i++) {
+        told(net, "document " + i, all.get(i));
+      }
+      issued += net.log.size();
+    }
+    assertTrue(issued > 5 * LONG_SEEDS, issued + " issued");
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/reachloom/revision/Issuers.java
@@ -0,0 +1,367 @@
+package reachloom.revision;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * Issuers on a network in simulated time that loses, delays, copies and cuts. Each has a council, a store that
+ * a test may break or take away, and a library that asks and answers over the same network.
+ */
+final class Issuers {
+  static final long MILLISECOND = 1_000_000;
+  static final long SECOND = 1_000 * MILLISECOND;
+  static final long START = 1_700_000_000L * SECOND;
+  private static final long TICK = 100 * MILLISECOND;
+  private static final long HAVE = SECOND;
+  private static final long FETCH = SECOND;
+  private static final int FETCHES = 4;
+
+  private record Event(long at, long order, Runnable what) {
+  }
+
+  /** Signatures that nobody forges in these tests: a hash over name and chain. */
+  private record Hashes(String name) implements Seal {
+    @Override
+    public byte[] sign(byte[] chain) {
+      byte[] n = name.getBytes(StandardCharsets.UTF_8);
+      byte[] all = Arrays.copyOf(n, n.length + chain.length);
+      System.arraycopy(chain, 0, all, n.length, chain.length);
+      return Revision.hash(all);
+    }
+
+    @Override
+    public boolean proves(String issuer, byte[] chain, byte[] signature) {
+      return Arrays.equals(new Hashes(issuer).sign(chain), signature);
+    }
+  }
+
+  /** The signatures of an issuer. */
+  static Seal seal(String name) {
+    return new Hashes(name);
+  }
+
+  /** A disk: it outlives its issuer. */
+  static final class Disk implements Store {
+    State state = State.first();
+    boolean broken;
+
+    boolean takesPart() {
+      return state != null && state.takesPart();
+    }
+
+    @Override
+    public State load() {
+      return state;
+    }
+
+    @Override
+    public boolean save(State next) {
+      state = broken ? state : next;
+      return !broken;
+    }
+  }
+
+  /** One issuer's machine; its council is null while it is down. */
+  final class Node implements Library, Outlet {
+    final String name;
+    final Disk disk = new Disk();
+    final Map<Long, byte[]> documents = new TreeMap<>();
+    Council council;
+    Word.Notice newest;
+    boolean standing;
+    int life;
+    private long haveAt;
+    /** Words that do not leave this one. */
+    Predicate<Word> gagged = w -> false;
+
+    Node(String name) {
+      this.name = name;
+    }
+
+    Peer peer() {
+      return new Peer(name, 1 + name.hashCode(), 0);
+    }
+
+    void start() {
+      life++;
+      documents.clear();
+      newest = null;
+      council = new Council(name, peers(), new Hashes(name), disk, this, this, random.split(), now);
+    }
+
+    void crash() {
+      council = null;
+      life++;
+    }
+
+    List<Result> propose(String document) {
+      return propose(document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    List<Result> propose(byte[] document) {
+      List<Result> results = new ArrayList<>();
+      council.propose(now, document, results::add);
+      return results;
+    }
+
+    long number() {
+      return newest == null ? 0 : newest.revision().number();
+    }
+
+    String document() {
+      byte[] held = newest == null ? null : document(newest.revision());
+      return held == null ? null : new String(held, StandardCharsets.UTF_8);
+    }
+
+    private void tick() {
+      council.tick(now);
+      if (now >= haveAt) {
+        haveAt = now + HAVE;
+        fetchNewest();
+        nodes.values().stream().filter(n -> n != this)
+            .forEach(n -> tell(now, n.name, 0, List.of(new Word.Have(number(), 0, number()))));
+      }
+    }
+
+    private void hear(Peer sender, List<Word> words) {
+      for (Word w : words) {
+        if (w instanceof Word.Have h && h.known() > number()) {
+          tell(now, sender.name(), 0, List.of(new Word.Want(0, 0, 0, 0)));
+        } else if (w instanceof Word.Want && newest != null) {
+          tell(now, sender.name(), 0, List.of(newest));
+        } else if (w instanceof Word.Notice n) {
+          take(n);
+        }
+      }
+      council.hear(now, sender, words);
+    }
+
+    private void take(Word.Notice n) {
+      long good = n.votes().stream()
+          .filter(v -> new Hashes("").proves(v.issuer(), n.revision().chain(), v.signature()))
+          .map(Vote::issuer).distinct().filter(nodes::containsKey).count();
+      assertTrue(good >= Council.quorum(nodes.size()), "a notice without its proof");
+      note(n.revision());
+      if (n.revision().number() > number()) {
+        newest = n;
+        fetchNewest();
+      }
+    }
+
+    private void fetchNewest() {
+      if (newest != null && document(newest.revision()) == null) {
+        nodes.values().stream().filter(o -> o != this)
+            .forEach(o -> fetchDraft(now, newest.revision(), o.peer(), got -> { }));
+      }
+    }
+
+    // ---- Library ----
+
+    @Override
+    public Word.Notice newest() {
+      return newest;
+    }
+
+    @Override
+    public void proved(long at, Revision revision, List<Vote> votes, byte[] document) {
+      if (document != null) {
+        draft(revision, document);
+      }
+      take(new Word.Notice(revision, votes));
+    }
+
+    @Override
+    public byte[] document(Revision revision) {
+      return documents.get(revision.mark());
+    }
+
+    @Override
+    public void draft(Revision revision, byte[] document) {
+      assertTrue(revision.describes(document));
+      documents.put(revision.mark(), document);
+    }
+
+    @Override
+    public void fetchDraft(long at, Revision revision, Peer from, Consumer<byte[]> then) {
+      Node holder = nodes.get(from.name());
+      int asked = life;
+      boolean[] done = new boolean[1];
+      Consumer<byte[]> once = got -> {
+        if (!done[0] && life == asked) {
+          done[0] = true;
+          if (got != null) {
+            draft(revision, got);
+          }
+          then.accept(got);
+        }
+      };
+      for (long in = 0; in < FETCH; in += FETCH / FETCHES) {
+        later(in, () -> {
+          if (!done[0] && life == asked) {
+            carry(this, holder, () -> {
+              byte[] held = holder.document(revision);
+              if (held != null) {
+                carry(holder, this, () -> once.accept(held));
+              }
+            });
+          }
+        });
+      }
+      later(FETCH, () -> once.accept(null));
+    }
+
+    // ---- Outlet ----
+
+    @Override
+    public int weight(Word word) {
+      return 100;
+    }
+
+    @Override
+    public int mostPacket() {
+      return 1_200;
+    }
+
+    @Override
+    public boolean tell(long at, String to, long address, List<Word> words) {
+      if (random.nextDouble() < refusing) {
+        return false;
+      }
+      List<Word> out = words.stream().filter(w -> !gagged.test(w)).toList();
+      Peer me = peer();
+      carry(this, nodes.get(to), () -> nodes.get(to).hear(me, out));
+      return true;
+    }
+  }
+
+  final Map<String, Node> nodes = new TreeMap<>();
+  final Map<Long, Revision> log = new TreeMap<>();
+  final SplittableRandom random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>(
+      java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Map<String, List<Runnable>> waiting = new LinkedHashMap<>();
+  private final List<String> cuts = new ArrayList<>();
+  private long order;
+  long now = START;
+  double loss;
+  double copies;
+  double refusing;
+  long delay = 5 * MILLISECOND;
+
+  Issuers(int count, long seed) {
+    random = new SplittableRandom(seed);
+    for (int i = 1; i <= count; i++) {
+      nodes.put("c" + i, new Node("c" + i));
+    }
+    nodes.values().forEach(Node::start);
+    later(TICK, this::tick);
+  }
+
+  private List<Peer> peers() {
+    return nodes.values().stream().map(Node::peer).toList();
+  }
+
+  Node node(int i) {
+    return nodes.get("c" + i);
+  }
+
+  /** Nothing gets from one to the other any more. */
+  void cut(int from, int to) {
+    cuts.add("c" + from + ">c" + to);
+  }
+
+  void heal() {
+    cuts.clear();
+  }
+
+  /** It stands still: nothing that comes is looked at until it goes on. */
+  void stand(int i) {
+    node(i).standing = true;
+  }
+
+  void goOn(int i) {
+    node(i).standing = false;
+    List<Runnable> all = waiting.remove("c" + i);
+    if (all != null) {
+      all.forEach(Runnable::run);
+    }
+  }
+
+  private void later(long in, Runnable what) {
+    events.add(new Event(now + in, order++, what));
+  }
+
+  private void carry(Node from, Node to, Runnable what) {
+    boolean cut = cuts.contains(from.name + ">" + to.name);
+    int life = to.life;
+    for (int i = random.nextDouble() < copies ? 2 : 1; i > 0; i--) {
+      if (!cut && random.nextDouble() >= loss) {
+        later(delay / 2 + random.nextLong(delay), () -> arrive(to, life, what));
+      }
+    }
+  }
+
+  private void arrive(Node to, int life, Runnable what) {
+    if (to.life != life || to.council == null) {
+      return;
+    }
+    if (to.standing) {
+      waiting.computeIfAbsent(to.name, n -> new ArrayList<>()).add(() -> arrive(to, life, what));
+    } else {
+      what.run();
+    }
+  }
+
+  private void tick() {
+    nodes.values().stream().filter(n -> n.council != null && !n.standing).forEach(Node::tick);
+    later(TICK, this::tick);
+  }
+
+  /** Each proved revision that anybody ever sees: one chain a number, each on the one before. */
+  private void note(Revision r) {
+    Revision before = log.putIfAbsent(r.number(), r);
+    assertTrue(before == null || before.equals(r), "a fork at " + r.number());
+    if (log.containsKey(r.number() - 1)) {
+      assertArrayEquals(log.get(r.number() - 1).chain(), r.previous(), "not on the one before");
+    }
+    assertEquals(r.number() == 1 || log.containsKey(r.number() - 1), true, "a gap before " + r.number());
+  }
+
+  void pass(long time) {
+    long until = now + time;
+    while (events.peek().at <= until) {
+      Event e = events.poll();
+      now = Math.max(now, e.at);
+      e.what.run();
+    }
+    now = until;
+  }
+
+  /** Lets time pass until that holds; false where it does not within the given time. */
+  boolean await(long most, java.util.function.BooleanSupplier holds) {
+    for (long until = now + most; now < until && !holds.getAsBoolean();) {
+      pass(TICK);
+    }
+    return holds.getAsBoolean();
+  }
+
+  /** All that are up hold the same newest revision and its document. */
+  boolean agree() {
+    List<Node> up = nodes.values().stream().filter(n -> n.council != null && !n.standing).toList();
+    return up.stream().allMatch(n -> n.number() == up.get(0).number() && n.document() != null
+        && n.council.number() == n.number());
+  }
+}
