--- a/decisions/src/test/java/reachloom/revision/CouncilTest.java
+++ b/decisions/src/test/java/reachloom/revision/CouncilTest.java
@@ -434,6 +434,54 @@
     assertTrue(back > LONG_SEEDS / 8, back + " came back");
   }
 
+  @Test
+  void ofWhatOthersHaveAcceptedTheOneOfTheHighestBallotIsTakenUp() {
+    for (boolean turned : new boolean[] {false, true}) {
+      Issuers net = new Issuers(5, 1);
+      net.loss = 1;
+      Issuers.Node n = net.node(1);
+      n.propose("own");
+      Ballot mine = n.disk.state.promised();
+      Revision older = draft(n, "older");
+      Revision newer = draft(n, "newer");
+      Word.Promise low = new Word.Promise(mine, 1, new Ballot(mine.round() - 1, "c2"), older);
+      Word.Promise high = new Word.Promise(mine, 1, new Ballot(mine.round() - 1, "c5"), newer);
+      n.council.hear(net.now, net.node(2).peer(), List.of(turned ? high : low));
+      assertNull(n.disk.state.accepted());
+      n.council.hear(net.now, net.node(3).peer(), List.of(turned ? low : high));
+      assertEquals(newer, n.disk.state.accepted());
+    }
+  }
+
+  private static Revision draft(Issuers.Node at, String document) {
+    Revision r = Revision.after(null, document.getBytes(), 1, "c4");
+    at.draft(r, document.getBytes());
+    return r;
+  }
+
+  @Test
+  void aLowerBallotIsRefusedInBothPhases() {
+    Issuers net = new Issuers(3, 1);
+    Store.State high = new Store.State(new Ballot(9, "c2"), Ballot.NONE, null, null, null, null, 1);
+    net.node(1).disk.state = high;
+    Acceptor a = new Acceptor("c1", Issuers.seal("c1"), net.node(1).disk);
+    Ballot low = new Ballot(8, "c3");
+    Revision r = draft(net.node(1), "low");
+    assertEquals(new Word.Rejected(low, high.promised()), a.prepare(new Word.Prepare(low, 1), "c3"));
+    assertEquals(new Word.Rejected(low, high.promised()),
+        a.propose(new Word.Propose(low, r), "c3", "low".getBytes()));
+    assertEquals(high, a.state());
+    Ballot same = new Ballot(9, "c2");
+    assertNull(a.propose(new Word.Propose(same, r), "c2", null), "no vote without the document");
+    assertNull(a.propose(new Word.Propose(same, r), "c2", "lox".getBytes()), "nor for another one");
+    assertEquals(same, ((Word.Accepted) a.propose(new Word.Propose(same, r), "c2", "low".getBytes())).ballot());
+    assertNull(a.propose(new Word.Propose(same, draft(net.node(1), "two")), "c2", "two".getBytes()),
+        "nor for two under one ballot");
+    Revision third = new Revision(3, r.chain(), r.digest(), r.size(), 1, "c2");
+    assertNull(a.propose(new Word.Propose(same, third), "c2", "low".getBytes()), "nor out of turn");
+    assertEquals(r, a.state().accepted());
+  }
+
   @Test
   void whateverHappensNoNumberHasTwoChains() {
     int issued = 0;
