A vote is given only by an issuer that holds the newest document; the council joins Dissemination

What issuers tell to know is what they hold, and an issuer that lost its store rests on that. Dissemination is the council's library.

--- a/decisions/src/main/java/reachloom/revision/Acceptor.java
+++ b/decisions/src/main/java/reachloom/revision/Acceptor.java
@@ -3,13 +3,15 @@
 import java.util.Arrays;
 
 /**
- * An issuer's voting part (the acceptor of Paxos, one instance a number). It answers only from what is saved:
- * where the store fails, it is silent, as one that is down.
+ * An issuer's voting part (the acceptor of Paxos, one instance a number). It answers only from what is
+ * saved: where the store fails, it is silent, as one that is down.
  *
- * <p>One that has lost its store may have promised and accepted what it no longer knows. With its newest proved
- * revision at k, a voter takes part in number k + 1 at most, and k was accepted by a majority that knew k - 1
- * to be proved. A majority of the others thus tells of k - 1 at least, and what was forgotten is of that
- * number + 2 at most. From the third on it takes part again.
+ * <p>One that has lost its store may have promised and accepted what it no longer knows. With its newest
+ * proved revision at k, a voter takes part in number k + 1 at most, and k was accepted by a majority that
+ * knew k - 1 to be proved. A majority of the others thus tells of k - 1 at least, and what was forgotten is
+ * of that number + 2 at most. From the third on it takes part again. (What others tell to know is what they
+ * hold the document of; therefore a voter holds that of k - 1 before it accepts k.) This counts on one lost
+ * store at a time: of two that were lost together each might ask the other.
  */
 final class Acceptor {
   /** Numbers after the newest known to a majority of the others in which one that forgot may have voted. */
@@ -39,6 +41,11 @@
     return number == state.number() + 1 && state.takesPart();
   }
 
+  /** Whether it holds the document of the newest proved revision: only then it accepts the next. */
+  boolean holdsNewest() {
+    return state.newest() == null || state.document() != null;
+  }
+
   /** Whether a ballot may be answered at all: its owner's, and of a round that can be gone beyond. */
   boolean plausible(Ballot ballot, String sender) {
     return ballot.issuer().equals(sender) && ballot.round() > 0
@@ -61,10 +68,10 @@
     return new Word.Promise(p.ballot(), p.number(), state.acceptedUnder(), state.accepted());
   }
 
-  /** Whether that may be accepted once its document is held: it follows what is proved, and is not too large. */
+  /** Whether that may be accepted with its document: it follows what is proved, and is not too large. */
   boolean follows(Revision r) {
     Revision newest = state.newest() == null ? null : state.newest().revision();
-    return takesPart(r.number()) && r.size() >= 0 && r.size() <= Revision.MOST_DOCUMENT
+    return holdsNewest() && takesPart(r.number()) && r.size() >= 0 && r.size() <= Revision.MOST_DOCUMENT
         && Arrays.equals(r.previous(), Revision.chain(newest));
   }
 
--- a/decisions/src/main/java/reachloom/revision/Council.java
+++ b/decisions/src/main/java/reachloom/revision/Council.java
@@ -66,7 +66,7 @@
     lastSeen = now;
     Store.State s = acceptor.state();
     settled = s.number();
-    if (s.newest() != null) {
+    if (s.document() != null) {
       library.proved(now, s.newest().revision(), s.newest().votes(), s.document());
     }
     if (s.accepted() != null) {
@@ -113,9 +113,9 @@
   }
 
   /**
-   * Takes a document that is to be issued. {@code result} is told what has become of it, twice where the first
-   * result is not the last ({@link Result#last}); also from within this call. A document that waits when the
-   * next one is given is skipped.
+   * Takes a document that is to be issued. {@code result} is told what has become of it, twice where the
+   * first result is not the last ({@link Result#last}); also from within this call. A document that waits
+   * when the next one is given is skipped.
    */
   public void propose(long now, byte[] document, Consumer<Result> result) {
     look(now);
@@ -159,7 +159,11 @@
     Store.State before = acceptor.state();
     boolean newer = newest.revision().number() > before.number();
     if (newer || newest.revision().number() == before.number() && before.document() == null) {
-      acceptor.learn(newest, library.document(newest.revision()));
+      byte[] held = library.document(newest.revision());
+      if (held != null) { // if only as a draft: others may count on it from now on
+        library.proved(now, newest.revision(), newest.votes(), held);
+      }
+      acceptor.learn(newest, held);
     }
     if (newest.revision().number() > settled) {
       settled = newest.revision().number();
--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -27,7 +27,7 @@
  * each packet, by the zone's counters, which remind who does not have it in force, and by the issuers, which
  * answer a census that is behind.
  */
-public final class Dissemination {
+public final class Dissemination implements Library {
   /** What carries a revision out. */
   public interface Host {
     /**
@@ -780,6 +780,7 @@
   // ---- The council of an issuer ----
 
   /** The council of this issuer knows a revision to be decided, or has found it in its store at a start. */
+  @Override
   public void proved(long now, Revision revision, List<Vote> votes, byte[] document) {
     if (!sane(revision, votes) || !revision.describes(document)) {
       host.alarm(now, "revision " + revision.number() + " is not issued: its document has " + document.length
@@ -801,12 +802,14 @@
   }
 
   /** The newest revision that is proved, with its proof; null for none. */
+  @Override
   public Word.Notice newest() {
     RevisionLog.Entry e = log.newest();
     return e == null ? null : new Word.Notice(e.revision(), e.votes());
   }
 
   /** The document of a revision, proved or a draft, if it is held; else null. */
+  @Override
   public byte[] document(Revision revision) {
     RevisionLog.Entry e = log.held(revision.number(), revision.mark());
     Draft d = drafts.get(revision.mark());
@@ -814,6 +817,7 @@
   }
 
   /** Holds a document that this issuer has proposed or accepted, for the other issuers to fetch. */
+  @Override
   public void draft(Revision revision, byte[] document) {
     drafts.put(revision.mark(), new Draft(revision, document));
     if (drafts.size() > MOST_DRAFTS) {
@@ -825,6 +829,7 @@
    * Fetches the document of a revision that is proposed and not yet proved, from the issuer that proposes it;
    * {@code then} is given it, or null where it could not be had; from within this call if it is held.
    */
+  @Override
   public void fetchDraft(long now, Revision revision, Peer from, Consumer<byte[]> then) {
     byte[] held = document(revision);
     if (held != null || draftFetches.size() >= MOST_DRAFT_FETCHES || !sane(revision, List.of())) {
--- a/decisions/src/main/java/reachloom/revision/Library.java
+++ b/decisions/src/main/java/reachloom/revision/Library.java
@@ -8,7 +8,7 @@
   /** The newest revision that is proved, with its proof; null for none. */
   Word.Notice newest();
 
-  /** A revision is decided, or was found in the store at a start; {@code document} may be null. */
+  /** A revision is decided, or was found in the store at a start. */
   void proved(long now, Revision revision, List<Vote> votes, byte[] document);
 
   /** The document of a revision, proved or a draft, if it is held; else null. */
--- a/decisions/src/main/java/reachloom/revision/Proposer.java
+++ b/decisions/src/main/java/reachloom/revision/Proposer.java
@@ -12,11 +12,11 @@
 import java.util.function.Consumer;
 
 /**
- * An issuer's proposing part (the proposer of Paxos). Of the documents given to it only the newest waits. What
- * others have accepted and nobody has finished is finished first, under its own number.
+ * An issuer's proposing part (the proposer of Paxos). Of the documents given to it only the newest waits.
+ * What others have accepted and nobody has finished is finished first, under its own number.
  *
- * <p>Only votes of the own ballot are counted: signatures say nothing of ballots, and votes of several ballots
- * do not make a majority.
+ * <p>Only votes of the own ballot are counted: signatures say nothing of ballots, and votes of several
+ * ballots do not make a majority.
  */
 final class Proposer {
   private static final long MILLISECOND = 1_000_000; // nanoseconds
@@ -26,7 +26,7 @@
   /** Rest after a higher ballot was met, on average and at first: two ways to another region and back. */
   private static final long REST = 150 * MILLISECOND;
   private static final int MOST_DOUBLINGS = 4;
-  /** A document that has not been issued by then is not proposed any more; members need a part of the 10 s, too. */
+  /** A document not issued by then is not proposed any more; members need a part of the 10 s, too. */
   static final long GIVE_UP = 8_000 * MILLISECOND;
   private static final long FETCH = 3_000 * MILLISECOND;
   /** What was accepted and is not proved after that time, and a part drawn by chance, is taken up again. */
@@ -248,6 +248,9 @@
       }
       return;
     }
+    if (!acceptor.holdsNewest()) {
+      return; // it is being fetched
+    }
     number = acceptor.state().number() + 1;
     long round = Math.max(seenRound, acceptor.state().promised().round()) + 1;
     ballot = new Ballot(round, name);
@@ -420,7 +423,7 @@
     }
   }
 
-  /** A newer revision is proved and saved: what was proposed under its number or an earlier one is decided. */
+  /** A newer revision is proved: what was proposed under its number or an earlier one is decided. */
   void moved(long now, Revision newest) {
     if (number <= newest.number() && phase != Phase.IDLE) {
       leave();
--- a/decisions/src/test/java/reachloom/revision/CouncilTest.java
+++ b/decisions/src/test/java/reachloom/revision/CouncilTest.java
@@ -474,7 +474,8 @@
     Ballot same = new Ballot(9, "c2");
     assertNull(a.propose(new Word.Propose(same, r), "c2", null), "no vote without the document");
     assertNull(a.propose(new Word.Propose(same, r), "c2", "lox".getBytes()), "nor for another one");
-    assertEquals(same, ((Word.Accepted) a.propose(new Word.Propose(same, r), "c2", "low".getBytes())).ballot());
+    Word answer = a.propose(new Word.Propose(same, r), "c2", "low".getBytes());
+    assertEquals(same, ((Word.Accepted) answer).ballot());
     assertNull(a.propose(new Word.Propose(same, draft(net.node(1), "two")), "c2", "two".getBytes()),
         "nor for two under one ballot");
     Revision third = new Revision(3, r.chain(), r.digest(), r.size(), 1, "c2");
--- a/decisions/src/test/java/reachloom/revision/Issuers.java
+++ b/decisions/src/test/java/reachloom/revision/Issuers.java
@@ -17,8 +17,8 @@
 import java.util.function.Predicate;
 
 /**
- * Issuers on a network in simulated time that loses, delays, copies and cuts. Each has a council, a store that
- * a test may break or take away, and a library that asks and answers over the same network.
+ * Issuers on a network in simulated time that loses, delays, copies and cuts. Each has a council, a store
+ * that a test may break or take away, and a library that asks and answers over the same network.
  */
 final class Issuers {
   static final long MILLISECOND = 1_000_000;
@@ -84,6 +84,7 @@
     boolean standing;
     int life;
     private long haveAt;
+    private long told;
     /** Words that do not leave this one. */
     Predicate<Word> gagged = w -> false;
 
@@ -99,6 +100,7 @@
       life++;
       documents.clear();
       newest = null;
+      told = 0;
       council = new Council(name, peers(), new Hashes(name), disk, this, this, random.split(), now);
     }
 
@@ -121,6 +123,14 @@
       return newest == null ? 0 : newest.revision().number();
     }
 
+    /** The newest number whose document is held: what a member tells that it knows. */
+    private long held() {
+      if (newest != null && document(newest.revision()) != null) {
+        told = Math.max(told, number());
+      }
+      return told;
+    }
+
     String document() {
       byte[] held = newest == null ? null : document(newest.revision());
       return held == null ? null : new String(held, StandardCharsets.UTF_8);
@@ -132,7 +142,7 @@
         haveAt = now + HAVE;
         fetchNewest();
         nodes.values().stream().filter(n -> n != this)
-            .forEach(n -> tell(now, n.name, 0, List.of(new Word.Have(number(), 0, number()))));
+            .forEach(n -> tell(now, n.name, 0, List.of(new Word.Have(held(), 0, held()))));
       }
     }
 
