A cold engine's slot is shared by five gateways, so that thin traffic uses it

Need: since slots have one owner each cold engines stand nearly unused before many gateways. One gateway of a hundred has two threads of room at an engine and a few queries within a slot; the rest of the slot's work lapses.

Change: each slot is shared by five gateways, in turn by number (Turns.place): its owner has half of the work, so that a long query finds room, four others equal parts of the rest. The sum is what it was. An attempt may begin within the slot in which it was sent, also where another query was sent later.

Measured on the module (ColdSlotsTest): of 4,000 queries of 100 gateways before ten engines 64 go to the cold one in 10 s, 10 before and 99 on; the most in a window stays within 0.81 of N + 2 root N + 2 (0.80 before).

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -72,6 +72,8 @@
   // Guards.
   private static final int COLD_SLOTS = 2; // in the rule's time; a query too large for one goes to none
   private static final double COLD_MARGIN = 0.65; // of the budget: a window touches one slot more
+  private static final int COLD_SHARERS = 5; // of a slot: one gateway alone has few queries, and little room
+  private static final double COLD_FIRST = 0.5; // of a slot is its owner's, for long queries
   private static final double BUSY_CORES = 0.85; // share of busy cores that the rule calls capacity
   private static final int LOAD_LINE = 2; // loads of one group at one engine; those that stand hold memory
   private static final int KEEP = 8; // engines that a gateway keeps to: two draws find room, some at rest
@@ -375,18 +377,28 @@
   }
 
   /**
-   * The time since an engine's start is cut into slots, which gateways own in turn, each by its own number:
-   * a slot's work is its owner's alone to send, and lapses unused. So all of them together keep the budget,
-   * whatever their traffic and without talking. One that started within a slot may have used it before.
+   * The time since an engine's start is cut into slots, each shared by a few gateways, in turn by number: one
+   * has half of its work, so that a long query finds room, others equal parts of the rest. What is not used
+   * lapses. So all gateways together keep the budget, whatever their traffic and without talking. One that
+   * started within a slot may have used its part before.
    */
   private boolean coldAllowed(long now, QueryRecord q, Engine e) {
-    return ownsColdSlot(now, e) && coldSpent(now, e) + coldCost(q) <= coldBudget(now, e);
+    long slot = coldSlot(now, e);
+    if (e.coldSlot != slot) {
+      e.coldSlot = slot;
+      e.coldPart = e.info.since() + slot * coldSlotTime() >= startedAt ? coldPart(slot, e) : 0;
+      e.coldSpent = 0;
+    }
+    return e.coldPart > 0 && e.coldSpent + coldCost(q) <= e.coldPart * coldBudget(now, e);
   }
 
-  private boolean ownsColdSlot(long now, Engine e) {
-    long slot = coldSlot(now, e);
-    return Turns.owner(e.name, slot, settings.gateways()) == self % settings.gateways()
-        && e.info.since() + slot * coldSlotTime() >= startedAt;
+  /** This gateway's part of a slot's work. */
+  private double coldPart(long slot, Engine e) {
+    int gateways = settings.gateways();
+    int sharers = Math.min(COLD_SHARERS, gateways);
+    int place = Turns.place(e.name, slot, sharers, gateways, self % gateways);
+    double rest = sharers == 1 ? 0 : (1 - COLD_FIRST) / (sharers - 1);
+    return place < 0 ? 0 : place > 0 ? rest : 1 - rest * (sharers - 1);
   }
 
   private long coldSlot(long now, Engine e) {
@@ -397,10 +409,6 @@
     return Math.max(1, settings.rules().fallTime() / COLD_SLOTS);
   }
 
-  private double coldSpent(long now, Engine e) {
-    return e.coldSlot == coldSlot(now, e) ? e.coldSpent : 0;
-  }
-
   /** Work that may be sent to a cold engine within one slot; the engine is taken to warm up late. */
   private double coldBudget(long now, Engine e) {
     Rules r = settings.rules();
@@ -485,10 +493,10 @@
     int wanted = (int) Math.max(KEEP, Math.ceil(pool.threads / (meanCores * KEEP_SHARE)));
     return draw.size() <= wanted ? draw
         : draw.stream().sorted(Comparator.comparingInt(e -> now < e.coldUntil ? -1 : e.place)).limit(wanted)
-            .toList(); // nobody else may use a cold one's slot
+            .toList(); // few others may use a cold one's slot
   }
 
-  /** Two by chance; a cold one with room is one of them, since its slot is this gateway's alone and short. */
+  /** Two by chance; a cold one with room is one of them, since its slot is short and few have part in it. */
   private List<Engine> drawTwo(long now, List<Engine> draw) {
     if (draw.size() <= 2) {
       return draw;
@@ -543,8 +551,7 @@
     e.add(a);
     pool.add(a);
     if (now < e.coldUntil) {
-      e.coldSpent = coldSpent(now, e) + coldCost(q);
-      e.coldSlot = coldSlot(now, e);
+      e.coldSpent += coldCost(q);
     }
     e.lastSign = e.out.size() == 1 ? now : e.lastSign;
     e.restUntil = e.troubles > 0 ? now + REST : e.restUntil; // one query at a time until one is served
@@ -579,7 +586,7 @@
     Engine e = a.engine;
     boolean cold = now < e.coldUntil;
     return !a.ended && !a.abandoned && e.state == EngineState.UP && engines.get(e.name) == e
-        && (!cold || e.coldSlot == coldSlot(now, e)) && repeatAllowed(now, q, e);
+        && (!cold || coldSlot(a.sentAt, e) == coldSlot(now, e)) && repeatAllowed(now, q, e);
   }
 
   // ---- While an attempt is out ----
--- a/decisions/src/main/java/reachloom/spread/Turns.java
+++ b/decisions/src/main/java/reachloom/spread/Turns.java
@@ -21,6 +21,20 @@
     return (int) ((first + Math.floorMod(turn, gateways) * step) % gateways);
   }
 
+  /**
+   * The place of that gateway among so many that share a turn, from 0; the first is the turn's owner, and -1
+   * says that it has none. In a round each gateway has each place once.
+   */
+  public static int place(String name, long turn, int places, int gateways, int gateway) {
+    int shared = Math.min(places, gateways);
+    for (int place = 0; place < shared; place++) {
+      if (owner(name, turn + (long) place * (gateways / shared), gateways) == gateway) {
+        return place;
+      }
+    }
+    return -1;
+  }
+
   private static long divisor(long a, long b) {
     return b == 0 ? a : divisor(b, a % b);
   }
--- a/decisions/src/main/java/reachloom/state/Engine.java
+++ b/decisions/src/main/java/reachloom/state/Engine.java
@@ -39,8 +39,9 @@
   public long resetAt;
   public long lastSign;
   public long coldUntil;
-  /** The latest slot of the cold engine in which this gateway sent, and the work sent in it. */
+  /** The cold engine's slot that was last looked at, this gateway's part of it, and the work sent in it. */
   public long coldSlot = Long.MIN_VALUE;
+  public double coldPart;
   public double coldSpent;
 
   /** What other instances say against it, from 0 to 1. */
--- a/decisions/src/test/java/reachloom/ColdSlotsTest.java
+++ b/decisions/src/test/java/reachloom/ColdSlotsTest.java
@@ -9,7 +9,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import reachloom.Decisions.EngineInfo;
 import reachloom.Decisions.EngineState;
 import reachloom.Decisions.Outcome;
 
@@ -96,6 +98,52 @@
     }
   }
 
+  /** Each gateway gets four queries a second, half a second long; a hundred of them before ten engines. */
+  @Test
+  void theThinTrafficOfManyGatewaysFillsAColdEngine() {
+    int gateways = 100;
+    List<Bench> fleet = new ArrayList<>();
+    for (int g = 0; g < gateways; g++) {
+      Bench b = new Bench();
+      b.gateways = gateways;
+      b.self = g;
+      b.seed = 1000 + g;
+      List<EngineInfo> engines = new ArrayList<>(List.of(Bench.engine("a", EngineState.UP, 0, b.now)));
+      for (char name = 'b'; name <= 'j'; name++) {
+        engines.add(Bench.up(String.valueOf(name)));
+      }
+      fleet.add(b.start(engines.toArray(EngineInfo[]::new)));
+    }
+    long start = fleet.get(0).now;
+    TreeMap<Long, List<String[]>> ends = new TreeMap<>();
+    List<Long> sent = new ArrayList<>();
+    for (long at = start; at < start + COLD - STEP; at += STEP) {
+      for (String[] end : ends.getOrDefault(at, List.of())) {
+        fleet.get(Integer.parseInt(end[0])).served(end[1], end[2], 0.5);
+      }
+      for (int g = 0; g < gateways; g++) {
+        Bench b = fleet.get(g);
+        if ((at - start) / STEP % 10 == g % 10) {
+          b.arrive("q" + at, QUICK, WORK);
+        }
+        b.pass(STEP);
+        for (String action : b.take()) {
+          String[] words = action.split(" ");
+          if (words[0].equals("send")) {
+            ends.computeIfAbsent(at + 20 * STEP, t -> new ArrayList<>())
+                .add(new String[] {String.valueOf(g), words[1], words[2]});
+            if (words[2].equals("a")) {
+              sent.add(at);
+            }
+          }
+        }
+      }
+    }
+    double most = most(sent, start);
+    assertTrue(most <= 1, "most in a window: " + most);
+    assertTrue(sent.size() > 40, sent.size() + " of 4,000 went to the cold engine");
+  }
+
   @Test
   void withoutNumbersOfTheirOwnGatewaysTakeSlotsByChance() {
     List<Long> sent = play(20, -1, false, false);
--- a/decisions/src/test/java/reachloom/spread/SpreadTest.java
+++ b/decisions/src/test/java/reachloom/spread/SpreadTest.java
@@ -174,4 +174,30 @@
       }
     }
   }
+
+  @Test
+  void eachGatewayHasEachPlaceAtATurnOnceInARound() {
+    for (int gateways : new int[] {1, 2, 3, 5, 6, 12, 97, 100}) {
+      int shared = Math.min(5, gateways);
+      int[][] had = new int[gateways][shared];
+      for (int turn = 0; turn < gateways; turn++) {
+        int sharers = 0;
+        for (int gateway = 0; gateway < gateways; gateway++) {
+          int place = Turns.place("s-00000001", turn, 5, gateways, gateway);
+          if (place >= 0) {
+            had[gateway][place]++;
+            sharers++;
+          }
+        }
+        assertEquals(shared, sharers);
+        assertEquals(0, Turns.place("s-00000001", turn, 5, gateways,
+            Turns.owner("s-00000001", turn, gateways)));
+      }
+      for (int[] places : had) {
+        for (int times : places) {
+          assertEquals(1, times);
+        }
+      }
+    }
+  }
 }
