A dial is given up without a cancel: the library's connector died of it

Cause: Sockets.giveUp cancelled the dial. Where its connection is up and its session still to be made by the other thread, MINA's connector has counted the dial down and counts it down once more for the cancel (AbstractPollingIoConnector). Its worker then ends with the next dial registered and unserved; that one is given up and cancelled, and so on for good.

Change: a dial that is given up is not cancelled; if it comes up all the same it is closed, and the connector ends it by its own limit, twice the dial's time.

Measured: DialsTest fails with the cancel (no dial comes up after the one given up) and passes without. EndingsTest, WatchSocketsTest, FrontsTest, ServeTest, SocketsTest, LongDayTest pass.

--- a/gateway/src/main/java/reachloom/gateway/ChangeLog.java
+++ b/gateway/src/main/java/reachloom/gateway/ChangeLog.java
@@ -55,7 +55,8 @@
     this.news = news;
     this.away = away;
     connector = sockets.connector(
-        new DecodingHandler<>("change log", () -> new ChangeLogDecoder(zones, kinds), new Heard()));
+        new DecodingHandler<>("change log", () -> new ChangeLogDecoder(zones, kinds), new Heard()),
+        Watch.DIAL_TIMEOUT);
   }
 
   /**
--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -92,7 +92,8 @@
     this.transport = transport;
     this.reports = reports;
     this.table = new Slots<>(mostLinks);
-    this.connector = sockets.connector(new DecodingHandler<>("engine", NodeDecoder::new, new Heard()));
+    this.connector = sockets.connector(new DecodingHandler<>("engine", NodeDecoder::new, new Heard()),
+        transport.dialTimeout());
     loop.atTurnEnd(this::handOver);
   }
 
@@ -319,7 +320,7 @@
       close(l, true);
     });
     future.addListener(f -> {
-      if (!future.isConnected() && !future.isCanceled()) {
+      if (!future.isConnected()) {
         loop.post(0, () -> {
           LOG.log(Level.DEBUG, "engine {0} at {1}: {2}", l.engine, address, future.getException());
           close(l, true);
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -32,6 +32,8 @@
   private static final int MOST_READ = 16 * 1024;
   private static final long CONNECT_CHECK_MS = 50;
   private static final long FULL_PAUSE_MS = 2;
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final long LATER = 2;
 
   private final ExecutorService threads = Executors.newCachedThreadPool(r -> {
     Thread t = new Thread(r, "sockets");
@@ -125,11 +127,15 @@
     acceptor.unbind();
   }
 
-  /** A connector whose connections that handler serves. */
-  public NioSocketConnector connector(IoHandler handler) {
+  /**
+   * A connector whose connections that handler serves, for dials that are given up after that time at the
+   * latest. The library ends one that is not up some time later: whoever waits gives it up first.
+   */
+  public NioSocketConnector connector(IoHandler handler, long dialTimeout) {
     NioSocketConnector connector = new NioSocketConnector(threads, processor);
     connector.setHandler(handler);
     connector.setConnectTimeoutCheckInterval(CONNECT_CHECK_MS);
+    connector.setConnectTimeoutMillis(LATER * Math.max(CONNECT_CHECK_MS, dialTimeout / MILLISECOND));
     configure(connector.getSessionConfig());
     return connector;
   }
@@ -146,9 +152,13 @@
     return session.write(IoBuffer.wrap(bytes));
   }
 
-  /** Gives up a connection that is not up yet; one that comes up all the same is closed. */
+  /**
+   * Gives up a connection that is not up yet; one that comes up all the same is closed. It is not cancelled:
+   * the library counts a dial down that is cancelled while its connection is up and its session is still to
+   * be made, though it has counted it down before. Its worker then ends with the next dial unserved, and so
+   * on with each cancel: such a connector never connects again.
+   */
   public static void giveUp(ConnectFuture future) {
-    future.cancel();
     future.addListener(f -> {
       if (future.isConnected()) {
         future.getSession().closeNow();
