Tests of endings and fronts share one harness of a gateway in the process

Need: both started a gateway on sockets by the same 12 lines, and further tests of orders need the same: a loop that can be held, a fence after which all that was sent is read, a module that is scripted.

Change: GatewayHarness holds it, and takes the gateway's address back at the end. One fault of a test: the client of whatWaitsBehindAConnectionThatTakesNothingCanStillBeEnded was made before the connection was filled, and was ended as silent where that took over 2 s (seen once on a machine with a load of 35 on 8 cores: "told null for Query"). It is made after; what is asserted is the same.

--- a/gateway/src/test/java/reachloom/gateway/EndingsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/EndingsTest.java
@@ -6,30 +6,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import reachloom.Decisions.Actions;
 import reachloom.Decisions.AttemptEnd;
 import reachloom.Decisions.EngineInfo;
 import reachloom.Decisions.Outcome;
 import reachloom.Decisions.Query;
-import reachloom.config.GatewayConfig;
 import reachloom.gateway.HeldPeer.Connection;
 import reachloom.standin.ChangeLogStandIn;
 import reachloom.standin.GatewayProcess;
@@ -42,26 +31,15 @@
  * request is dealt with, bytes that come to a connection that is being closed. See docs/design/endings.md.
  */
 @Timeout(60)
-class EndingsTest {
+class EndingsTest extends GatewayHarness {
   private static final String ENGINE = "s-00000001";
   private static final String OTHER = "s-00000002";
   /** Statements so long that a few of them fill a connection which takes nothing. */
   private static final String LONG = "select '" + "x".repeat(60_000) + "'";
 
-  @TempDir
-  Path folder;
-
-  private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
-  private final Loop loop = new Loop();
   private HeldPeer engine;
   private NodeStandIn other;
   private ChangeLogStandIn changeLog;
-  private GatewayConfig config;
-  private Actions actions;
-  private Gateway gateway;
-  /** What the module says of attempts that are about to begin, and whether it sends what arrives. */
-  private volatile boolean allowed = true;
-  private volatile boolean sendAtOnce;
 
   /** How a client goes. */
   enum Leaving {
@@ -84,98 +62,18 @@
     changeLog = new ChangeLogStandIn(1);
     String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog.address(), engine.address(),
         other.address()).replace("\"dialTimeout\":250000000", "\"dialTimeout\":9000000000");
-    config = GatewayConfig.fromFile(Files.writeString(folder.resolve("config.json"), text), Map.of());
-    gateway = new Gateway(config, loop, a -> {
-      actions = a;
-      return new FrontsTest.Recorder(told) {
-        @Override
-        public boolean mayStart(long now, String query, int attempt) {
-          return allowed;
-        }
-
-        @Override
-        public void arrive(long now, Query query) {
-          super.arrive(now, query);
-          if (sendAtOnce) {
-            actions.send(query.id(), ENGINE, 0);
-          }
-        }
-
-        @Override
-        public void leave(long now, String query) {
-          super.leave(now, query);
-          actions.cancel(query, 0);
-        }
-      };
-    });
-    gateway.listen();
-    loop.post(0, gateway::start);
-    NodeStandIn.daemon(loop);
+    serve(text, a -> scripted());
     next(reachloom.Decisions.Settings.class);
     next(List.class);
   }
 
   @AfterEach
   void end() throws IOException {
-    loop.post(0, loop::end);
     engine.close();
     other.close();
     changeLog.close();
   }
 
-  private <T> T next(Class<T> type) throws InterruptedException {
-    Object event = told.poll(20, TimeUnit.SECONDS);
-    assertTrue(type.isInstance(event), "told " + event + " for " + type.getSimpleName());
-    return type.cast(event);
-  }
-
-  private void act(Runnable action) {
-    loop.post(0, action);
-  }
-
-  private int held(String table) {
-    CompletableFuture<Integer> held = new CompletableFuture<>();
-    loop.post(0, () -> held.complete(gateway.held().get(table)));
-    return held.join();
-  }
-
-  private static void await(BooleanSupplier wanted) throws InterruptedException {
-    for (int i = 0; i < 2_000 && !wanted.getAsBoolean(); i++) {
-      Thread.sleep(5);
-    }
-    assertTrue(wanted.getAsBoolean());
-  }
-
-  /** Holds the loop until the latch opens; returns once it is held. */
-  private CountDownLatch hold() throws InterruptedException {
-    CountDownLatch held = new CountDownLatch(1);
-    CountDownLatch go = new CountDownLatch(1);
-    loop.post(0, () -> {
-      held.countDown();
-      try {
-        go.await(20, TimeUnit.SECONDS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    });
-    assertTrue(held.await(10, TimeUnit.SECONDS));
-    return go;
-  }
-
-  /**
-   * While the loop is held: what was sent before has been read by the thread of the sockets. It goes round
-   * all connections: once a second message has been read, the round in which the first one was is over.
-   */
-  private void allHasBeenRead() throws Exception {
-    for (int i = 0; i < 2; i++) {
-      try (ThriftClient fence = new ThriftClient(config.listen())) {
-        int before = loop.waiting();
-        fence.execute("x".repeat(1_000), "verb", "strange");
-        await(() -> loop.waiting() >= before + 1_000);
-      }
-    }
-  }
-
   @ParameterizedTest
   @EnumSource(Leaving.class)
   void aQueryWhoseClientLeavesWhileItsDialHangsIsNeverSent(Leaving how) throws Exception {
@@ -219,7 +117,7 @@
   @EnumSource(Leaving.class)
   void aQueryThatIsGivenUpBeforeItIsDealtWithIsNeverSent(Leaving how) throws Exception {
     // The module asks for an attempt as soon as it hears of the query, as it does in service.
-    sendAtOnce = true;
+    sendAtOnceTo = ENGINE;
     ThriftClient c = new ThriftClient(config.listen());
     act(() -> actions.probe(ENGINE));
     Connection connection = engine.accept(); // it is up: nothing waits for a dial
@@ -266,8 +164,10 @@
   @Test
   void whatWaitsBehindAConnectionThatTakesNothingCanStillBeEnded() throws Exception {
     List<ThriftClient> fillers = new ArrayList<>();
-    try (ThriftClient c = new ThriftClient(config.listen())) {
+    try {
       Connection connection = stuck(fillers);
+      ThriftClient c = new ThriftClient(config.listen()); // only now: one that is silent for 2 s is ended
+      fillers.add(c);
       int seq = c.execute("select 'the one'");
       Query q = next(Query.class);
       act(() -> actions.send(q.id(), ENGINE, 0));
--- a/gateway/src/test/java/reachloom/gateway/FrontsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/FrontsTest.java
@@ -8,19 +8,11 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-import reachloom.Decisions.Actions;
 import reachloom.Decisions.AttemptEnd;
 import reachloom.Decisions.EngineInfo;
 import reachloom.Decisions.Events;
@@ -31,7 +23,6 @@
 import reachloom.Decisions.Report;
 import reachloom.Decisions.Settings;
 import reachloom.benchlink.BenchLinkProbe;
-import reachloom.config.GatewayConfig;
 import reachloom.standin.ChangeLogStandIn;
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.NodeStandIn;
@@ -39,19 +30,12 @@
 import reachloom.standin.ThriftWords;
 
 /** What the front on sockets tells the module: the same as the simulator's front, in the same units. */
-class FrontsTest {
-  @TempDir
-  Path folder;
-
+class FrontsTest extends GatewayHarness {
   /** The table group of queries that the module fails on. */
   private static final int BROKEN = 666;
 
   private NodeStandIn node;
   private ChangeLogStandIn changeLog;
-  private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
-  private final Loop loop = new Loop();
-  private Actions actions;
-  private GatewayConfig config;
 
   /** A module that notes what it is told, and does nothing by itself. */
   static class Recorder implements Events {
@@ -124,16 +108,7 @@
   void start() throws Exception {
     node = new NodeStandIn();
     changeLog = new ChangeLogStandIn(1);
-    Path file = Files.writeString(folder.resolve("config.json"),
-        GatewayProcess.config(GatewayProcess.freeAddress(), changeLog, node));
-    config = GatewayConfig.fromFile(file, Map.of());
-    Gateway gateway = new Gateway(config, loop, a -> {
-      actions = a;
-      return new Recorder(told);
-    });
-    gateway.listen();
-    loop.post(0, gateway::start);
-    NodeStandIn.daemon(loop);
+    serve(GatewayProcess.config(GatewayProcess.freeAddress(), changeLog, node), a -> new Recorder(told));
     next(Settings.class);
     next(List.class);
   }
@@ -158,21 +133,10 @@
 
   @AfterEach
   void end() throws IOException {
-    loop.post(0, loop::end);
     node.close();
     changeLog.close();
   }
 
-  private <T> T next(Class<T> type) throws InterruptedException {
-    Object event = told.poll(10, TimeUnit.SECONDS);
-    assertTrue(type.isInstance(event), "told " + event + " for " + type.getSimpleName());
-    return type.cast(event);
-  }
-
-  private void act(Runnable action) {
-    loop.post(0, action);
-  }
-
   private Query taken(ThriftClient c, String statement, String... changes) throws Exception {
     c.execute(statement, changes);
     return next(Query.class);
