A list read before the log is moved counts, and a list from SIGHUP never goes back

Cause, by tests on sockets with the loop held: ChangeLog.follow left the old log at once, so that an event read from it behind the SIGHUP in the same turn was dropped (received: mine == round). And Watch.toldElsewhere kept waiting for all events up to one that the list from the configuration already held: the list of event 8 came into force after that of event 10.

Change: the old log is left in a later turn, once what has been read of it is dealt with; a list from elsewhere that reaches as far as what was missed ends the wait.

--- a/decisions/src/main/java/reachloom/discovery/Watch.java
+++ b/decisions/src/main/java/reachloom/discovery/Watch.java
@@ -84,6 +84,9 @@
   public boolean toldElsewhere(long number) {
     boolean newer = number > last;
     last = Math.max(last, number);
+    if (last >= wanted) {
+      wanted = -1; // nothing is missing up to there, and all of them as they were before would go back
+    }
     return newer;
   }
 
--- a/decisions/src/test/java/reachloom/discovery/WatchTest.java
+++ b/decisions/src/test/java/reachloom/discovery/WatchTest.java
@@ -98,6 +98,35 @@
     assertEquals(Verdict.TAKE, event(8));
   }
 
+  @Test
+  void aListToldElsewhereThatHoldsWhatWasMissedEndsTheWaitForAllOfThem() {
+    assertEquals(Verdict.MISSED, event(8));
+    assertTrue(watch.toldElsewhere(10));
+    watch.asked();
+    assertEquals(10, watch.askAfter());
+    assertEquals(Verdict.SKIP, event(8), "the list held does not go back");
+    assertEquals(10, watch.last());
+    assertEquals(Verdict.TAKE, event(11));
+  }
+
+  @Test
+  void aListToldElsewhereThatIsOlderThanWhatWasMissedLeavesItAwaited() {
+    assertEquals(Verdict.MISSED, event(9));
+    assertTrue(watch.toldElsewhere(7));
+    watch.asked();
+    assertEquals(0, watch.askAfter());
+    assertEquals(Verdict.FOLD, event(8));
+    assertEquals(Verdict.WHOLE, event(9));
+  }
+
+  @Test
+  void aWatchThatHasSpokenForLongIsDialledAgainAsSoonAsAYoungOne() {
+    for (int second = 0; second < 60; second++) {
+      nothing(5);
+      assertTrue(watch.pause() <= 100_000_000L, "silent after " + second + " s");
+    }
+  }
+
   @Test
   void aDeadWatchIsFoundAndDialledAgainBeforeAllCountsAsTold() {
     long frame = 1_000_000_000L;
--- a/gateway/src/main/java/reachloom/gateway/ChangeLog.java
+++ b/gateway/src/main/java/reachloom/gateway/ChangeLog.java
@@ -60,7 +60,8 @@
 
   /**
    * Takes over what a configuration read anew tells: events beyond the last one held, and where the log is
-   * now. Nothing is waited for: the old address tells no more, and the new one goes on with the same numbers.
+   * now. The old address is left once what has been read from there is dealt with: it counts as told, and the
+   * new one, which goes on with the same numbers, may tell of it late.
    */
   void follow(InetSocketAddress now, long lastKnown, List<Member> known) {
     if (watch.toldElsewhere(lastKnown)) {
@@ -73,8 +74,10 @@
         Long.toString(watch.last()));
     address = now;
     watch.moved();
-    letGo();
-    connect();
+    loop.post(0, () -> {
+      letGo();
+      connect();
+    });
   }
 
   /**
--- a/gateway/src/test/java/reachloom/gateway/WatchSocketsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/WatchSocketsTest.java
@@ -29,18 +29,19 @@
 /** The watch over the change log on real connections: silent, with events left out, late, and away. */
 @Timeout(60)
 class WatchSocketsTest {
-  private static final int NOTHING = 0;
-  private static final int WHOLE = 1;
-  private static final int CHANGES = 2;
-  private static final int UP = 0;
-  private static final int GONE = 2;
+  static final int NOTHING = 0;
+  static final int WHOLE = 1;
+  static final int CHANGES = 2;
+  static final int UP = 0;
+  static final int DRAINING = 1;
+  static final int GONE = 2;
 
   @TempDir
   Path folder;
 
   private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
 
-  private static byte[] frame(long number, int kind, Integer... engines) throws IOException {
+  static byte[] frame(long number, int kind, Integer... engines) throws IOException {
     ByteBuffer frame = ByteBuffer.allocate(4 + 9 + 27 * engines.length).putInt(9 + 27 * engines.length)
         .putLong(number).put((byte) kind);
     for (int id : engines) {
@@ -49,7 +50,7 @@
     return frame.array();
   }
 
-  private static void record(ByteBuffer frame, int id, byte[] address, int port, int state) {
+  static void record(ByteBuffer frame, int id, byte[] address, int port, int state) {
     frame.putInt(id).put(address).putShort((short) port).put((byte) state).put((byte) 0).put((byte) 0)
         .putShort((short) 0).putInt(1000).putLong(0);
   }
--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -141,7 +141,20 @@
   }
 
   public void hangUp() throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    signal("HUP");
+  }
+
+  /** Lets the process stand still: what comes to its sockets, and further signals, wait. */
+  public void standStill() throws IOException, InterruptedException {
+    signal("STOP");
+  }
+
+  public void goOn() throws IOException, InterruptedException {
+    signal("CONT");
+  }
+
+  private void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
 
   public void terminate() {
--- a/standin/src/main/java/reachloom/standin/ThriftClient.java
+++ b/standin/src/main/java/reachloom/standin/ThriftClient.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import reachloom.standin.ThriftWords.Reply;
@@ -14,6 +15,8 @@
   private final Socket socket = new Socket();
   private final DataInputStream in;
   private int seq;
+  /** What is still to be sent of a message that was begun. */
+  private byte[] rest = {};
 
   public ThriftClient(InetSocketAddress address) throws IOException {
     socket.connect(address, 5_000);
@@ -24,6 +27,25 @@
 
   /** Sends a statement; gives its number. */
   public int execute(String statement, String... changes) throws IOException {
+    send(call(statement, changes));
+    return seq;
+  }
+
+  /** Sends the first half of such a message; gives its number. */
+  public int begin(String statement, String... changes) throws IOException {
+    ByteBuffer call = call(statement, changes);
+    byte[] bytes = Arrays.copyOf(call.array(), call.limit());
+    raw(Arrays.copyOf(bytes, bytes.length / 2));
+    rest = Arrays.copyOfRange(bytes, bytes.length / 2, bytes.length);
+    return seq;
+  }
+
+  /** Sends the rest of the message that was begun. */
+  public void finish() throws IOException {
+    raw(rest);
+  }
+
+  private ByteBuffer call(String statement, String... changes) {
     Map<String, String> fields = new LinkedHashMap<>(Map.of("verb", "quick", "txn",
         String.format("%016x", System.nanoTime()), "limit", "1500", "team", "one"));
     for (int i = 0; i < changes.length; i += 2) {
@@ -32,8 +54,7 @@
         fields.put(changes[i], changes[i + 1]);
       }
     }
-    send(ThriftWords.execute(++seq, fields, statement));
-    return seq;
+    return ThriftWords.execute(++seq, fields, statement);
   }
 
   public void interrupt(int target) throws IOException {
@@ -68,7 +89,7 @@
   public void checkAndNonsense(int bytes) throws IOException {
     ByteBuffer call = ThriftWords.check(++seq);
     byte[] all = new byte[call.limit() + bytes];
-    java.util.Arrays.fill(all, (byte) -1);
+    Arrays.fill(all, (byte) -1);
     call.get(all, 0, call.limit());
     socket.getOutputStream().write(all);
   }
