At the shutdown connections end in order, and one just come is not taken any more

Cause, by tests on sockets with the loop held. Gateway.close unbinds, and the library's acceptor closes all its connections when it is unbound (closeOnDeactivation, on unless switched off): the orderly end in Closing never came about there, output not yet written was dropped, and a word from the client drew a reset (the test's second word: Broken pipe). And a connection that came up before the shutdown and was heard of behind it was taken: its request was sent on (ASK came to the engine) while the process ended.

Change: the acceptor leaves connections alone; past the shutdown what opens is ended and not read.

Tests: OrdersOfStopTest, in the process and over SIGTERM. Seen to fail without one defence each: clients.remove in Gateway.hangUp (the request behind the shutdown, whole and in half, was sent on), Closing (closeNow instead: Broken pipe), openUntil in Server.finish (the open request got no answer).

--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -91,6 +91,8 @@
   private long heldBytes;
   private final AtomicLong unsent = new AtomicLong();
   private boolean good;
+  /** No more clients are taken; some may have come up that the loop has not heard of. */
+  private boolean closed;
   /** Hears of engines; null where nobody does. */
   private Observer observer;
   /** Once the gateway is to stop: by when all must be answered; else the largest time. */
@@ -178,6 +180,7 @@
 
   /** Takes no more clients, and closes the connections once what they are owed is written. */
   public void close() {
+    closed = true;
     sockets.unbind();
     clients.all().forEach(this::hangUp);
   }
@@ -250,6 +253,10 @@
     @Override
     public void opened(IoSession session) {
       loop.post(0, () -> {
+        if (closed) { // what it has asked would be sent on, with nobody left to answer it
+          closing.end(session);
+          return;
+        }
         Client c = new Client(session, loop.now());
         if (!admit(c)) {
           session.closeNow();
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -115,6 +115,7 @@
   public void listen(InetSocketAddress address, IoHandler handler) throws IOException {
     acceptor.setReuseAddress(true);
     acceptor.setBacklog(BACKLOG);
+    acceptor.setCloseOnDeactivation(false); // else unbinding cuts all connections, whatever they are owed
     configure(acceptor.getSessionConfig());
     acceptor.setHandler(handler);
     acceptor.bind(address);
--- /dev/null
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfStopTest.java
@@ -0,0 +1,203 @@
+package reachloom.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.Settings;
+import reachloom.gateway.HeldPeer.Connection;
+import reachloom.standin.ChangeLogStandIn;
+import reachloom.standin.GatewayProcess;
+import reachloom.standin.NodeStandIn;
+import reachloom.standin.ThriftClient;
+import reachloom.standin.ThriftWords;
+
+/**
+ * Requests that meet the end of a connection which this side wants: at the shutdown, and where a client
+ * that rests is ended. They get their answers, or they are not sent on and their connections end in order.
+ */
+@Timeout(60)
+class OrdersOfStopTest extends GatewayHarness {
+  private static final String ENGINE = "s-00000001";
+  private static final String SERVED =
+      " OK fetches=1 " + NodeStandIn.ROW.length() + "\r\n" + NodeStandIn.ROW + "\r\n";
+
+  private HeldPeer engine;
+  private ChangeLogStandIn changeLog;
+  /** The gateway's one connection to its engine; it tells what was sent on, and in which order. */
+  private Connection sentOn;
+  private int probes;
+
+  @BeforeEach
+  void start() throws Exception {
+    engine = new HeldPeer();
+    changeLog = new ChangeLogStandIn(1);
+    String text = GatewayProcess.config(GatewayProcess.freeAddress(), changeLog.address(), engine.address())
+        .replace("\"dialTimeout\":250000000", "\"dialTimeout\":9000000000")
+        .replace("\"sockets\":1024", "\"sockets\":96");
+    serve(text, a -> scripted());
+    next(Settings.class);
+    next(List.class);
+    sendAtOnceTo = ENGINE; // as the module does in service
+    act(() -> actions.probe(ENGINE));
+    sentOn = engine.accept();
+    nothingSentOn();
+  }
+
+  @AfterEach
+  void end() throws IOException {
+    engine.close();
+    changeLog.close();
+  }
+
+  /** Twice round by way of the engine: all that was sent before has been read, and none of it was sent on. */
+  private void nothingSentOn() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      if (probes > 0) {
+        act(() -> actions.probe(ENGINE));
+      }
+      String tag = "p" + probes++;
+      assertEquals(List.of("INFO " + tag), sentOn.linesUpTo("INFO"));
+      sentOn.say(tag + " UP - 0\r\n\r\n");
+      assertEquals(List.of(ENGINE, true), next(List.class));
+    }
+  }
+
+  /** Once what was sent before has been read: a reset would tell at the next word, if not by the first. */
+  private static void assertNoReset(ThriftClient c) {
+    assertDoesNotThrow(() -> c.execute("select 'after the end'"));
+  }
+
+  private void answer(Query q) throws Exception {
+    assertTrue(sentOn.request().startsWith("ASK " + q.id()));
+    sentOn.say(q.id() + SERVED);
+  }
+
+  /** Where the request lies when the loop comes to the shutdown. */
+  enum Lying {
+    READ, READ_BEHIND_ITS_CONNECTION, READ_IN_HALF
+  }
+
+  @ParameterizedTest
+  @EnumSource(Lying.class)
+  void aRequestThatLiesBehindTheShutdownIsNotSentOnAndItsConnectionEndsInOrder(Lying where) throws Exception {
+    ThriftClient c = new ThriftClient(config.listen());
+    assertFalse(c.check());
+    if (where == Lying.READ_IN_HALF) {
+      c.begin("select 1");
+    }
+    CountDownLatch go = hold();
+    if (where == Lying.READ_IN_HALF) {
+      allHasBeenRead();
+    }
+    act(gateway::close);
+    if (where == Lying.READ_BEHIND_ITS_CONNECTION) {
+      c.close();
+      c = new ThriftClient(config.listen());
+    }
+    if (where == Lying.READ_IN_HALF) {
+      c.finish();
+    } else {
+      c.execute("select 1");
+    }
+    allHasBeenRead();
+    go.countDown();
+    assertTrue(c.ended(), "no answer, and no reset");
+    nothingSentOn();
+    c.close();
+    await(() -> held("clients") == 0 && held("requests") == 0);
+  }
+
+  @Test
+  void whatComesWhileTheCloseIsOnItsWayIsReadAndDroppedWithoutAReset() throws Exception {
+    try (ThriftClient c = new ThriftClient(config.listen());
+        ThriftClient half = new ThriftClient(config.listen())) {
+      c.execute("select 1");
+      Query q = next(Query.class);
+      answer(q);
+      assertEquals("ANSWER", c.reply().kind());
+      next(AttemptEnd.class);
+      assertFalse(half.check());
+      half.begin("select 2");
+      nothingSentOn(); // the half is read
+      act(gateway::close);
+      assertTrue(c.ended());
+      assertTrue(half.ended());
+      c.execute("select 3");
+      half.finish();
+      nothingSentOn();
+      assertNoReset(c);
+      assertNoReset(half);
+    }
+    await(() -> pending() == 0);
+  }
+
+  @Test
+  void whatIsOnItsWayWhenSigtermComesIsAnswered() throws Exception {
+    Path own = Files.createDirectory(folder.resolve("process"));
+    try (NodeStandIn node = new NodeStandIn();
+        GatewayProcess process = new GatewayProcess(own, changeLog, GatewayProcess.freeAddress(), node);
+        ThriftClient open = process.ready(); ThriftClient half = new ThriftClient(process.listen)) {
+      assertTrue(half.check());
+      half.begin("select 1");
+      process.standStill();
+      int hanging = open.execute("select 1 /* hang */", "limit", "1300"); // longer than new ones come
+      int plain = open.execute("select 1");
+      try (ThriftClient late = new ThriftClient(process.listen)) {
+        late.execute("select 1");
+        process.terminate();
+        process.goOn();
+        assertEquals("ANSWER", late.reply().kind());
+        await(() -> stopping(process));
+        half.finish();
+        assertEquals("ANSWER", half.reply().kind());
+        ThriftWords.Reply first = open.reply();
+        assertEquals(plain, first.seq());
+        assertEquals("ANSWER", first.kind());
+        ThriftWords.Reply second = open.reply();
+        assertEquals(hanging, second.seq());
+        assertTrue(Set.of("BUSY", "FAILED").contains(second.kind()));
+        assertTrue(open.ended() && half.ended() && late.ended(), "no reset");
+      }
+      assertEquals(0, process.exit());
+    }
+  }
+
+  private static boolean stopping(GatewayProcess process) {
+    try (ThriftClient c = new ThriftClient(process.listen)) {
+      return !c.check();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private int pending() {
+    int[] pending = new int[1];
+    CountDownLatch asked = new CountDownLatch(1);
+    act(() -> {
+      pending[0] = gateway.closing();
+      asked.countDown();
+    });
+    try {
+      asked.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return pending[0];
+  }
+}
