A resting client gives way only after what was read of it, and is ended without a reset

Cause, by tests on sockets with the loop held: a new connection put another one out at once (Gateway.admit), also one whose request had been read and lay behind it in the same turn: that request was dropped without an answer (none in 20 s; the protocol sends it again only where it crosses the close within 50 ms).

Change: past a third of the descriptors a new client is let in and another one gives way once all that is read by then has been dealt with; for that moment the table holds an eighth more, as many as are accepted.

Tests: OrdersOfStopTest.aRequestReadBefore..., clientsThatRest...; both fail with closeNow for Closing.

--- a/gateway/src/main/java/reachloom/gateway/Closing.java
+++ b/gateway/src/main/java/reachloom/gateway/Closing.java
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Whether one more can be ended without another one being cut for it. */
+  boolean hasRoom() {
+    return pending.size() < most;
+  }
+
   /** How many connections are on their way to their end. */
   int pending() {
     return pending.size();
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -86,6 +86,7 @@
   private final Engines engines;
   private final ChangeLog changeLog;
   private final Clients clients;
+  private final int mostClients;
   private final Slots<Request> requests;
   private final Map<String, Request> byId = new HashMap<>();
   private long heldBytes;
@@ -105,7 +106,8 @@
     module = factory.apply(this);
     int third = config.sockets() / 3;
     sockets = new Sockets(third + third / ARRIVING_PART);
-    clients = new Clients(third);
+    clients = new Clients(third + third / ARRIVING_PART);
+    mostClients = third;
     requests = new Slots<>(config.transport().maxOpen());
     closing = new Closing(loop, sockets, config.transport().dialTimeout(), third / ARRIVING_PART);
     engines = new Engines(loop, sockets, closing, this, config.transport(),
@@ -310,10 +312,13 @@
     }
   }
 
-  /** Closes the clients that never say anything whole, stop within a message, or only hold on. */
+  /**
+   * Closes the clients that never say anything whole, stop within a message, or only hold on: no more at once
+   * than can end in order. The others go with the next sweep, or make room for new ones before.
+   */
   private void sweep() {
     long now = loop.now();
-    for (Client c = overdue(now); c != null; c = overdue(now)) {
+    for (Client c = overdue(now); c != null && closing.hasRoom(); c = overdue(now)) {
       hangUp(c);
     }
     engines.sweep();
@@ -324,14 +329,26 @@
     return clients.overdue(now - MOST_SILENCE, now - MOST_IDLE);
   }
 
-  /** Takes a client in, with the table full in the place of another one; false where all have work open. */
+  /**
+   * Takes a client in; false where the table is full and all in it have work open. Past their number another
+   * one gives way, but not at once: what has been read of it by now counts first.
+   */
   private boolean admit(Client c) {
-    Client other = clients.add(c) ? null : clients.inTheWay(loop.now() - FIRST_WORDS);
+    if (!clients.add(c)) {
+      makeRoom();
+      return clients.add(c);
+    }
+    if (clients.size() > mostClients) {
+      loop.post(0, this::makeRoom);
+    }
+    return true;
+  }
+
+  private void makeRoom() {
+    Client other = clients.size() > mostClients ? clients.inTheWay(loop.now() - FIRST_WORDS) : null;
     if (other != null) {
       hangUp(other);
-      return clients.add(c);
     }
-    return c.handle != Slots.NONE;
   }
 
   private void hangUp(Client c) {
--- a/gateway/src/test/java/reachloom/gateway/OrdersOfStopTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfStopTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -186,6 +187,78 @@
     }
   }
 
+  @Test
+  void aRequestReadBeforeItsConnectionHasToGiveWayIsTakenAndOneThatComesLaterIsNotReadNorReset()
+      throws Exception {
+    List<ThriftClient> resting = new ArrayList<>();
+    try {
+      for (int i = 0; i < 32; i++) { // all that there is room for
+        resting.add(new ThriftClient(config.listen()));
+        assertFalse(resting.get(i).check());
+      }
+      ThriftClient asks = resting.get(0); // the one idle for longest
+      ThriftClient givesWay = resting.get(1);
+      CountDownLatch go = hold();
+      try (ThriftClient newcomer = new ThriftClient(config.listen())) {
+        allHasBeenRead();
+        asks.execute("select 1");
+        allHasBeenRead();
+        go.countDown();
+        answer(next(Query.class));
+        assertEquals("ANSWER", asks.reply().kind());
+        next(AttemptEnd.class);
+        assertTrue(givesWay.ended(), "no reset");
+        givesWay.execute("select 2");
+        nothingSentOn();
+        assertNoReset(givesWay);
+        assertFalse(newcomer.check(), "it is in");
+        assertTrue(held("clients") <= 32);
+      }
+    } finally {
+      for (ThriftClient c : resting) {
+        c.close();
+      }
+    }
+  }
+
+  @Test
+  void clientsThatRestUntilTheyAreEndedGetNoResetAndWhatCrossesThatIsAnsweredOrNotSentOn() throws Exception {
+    List<ThriftClient> resting = new ArrayList<>();
+    try {
+      for (int i = 0; i < 8; i++) {
+        resting.add(new ThriftClient(config.listen()));
+        assertFalse(resting.get(i).check());
+      }
+      assertTrue(resting.get(0).ended(), "after ten seconds");
+      for (ThriftClient c : resting) {
+        c.execute("select 1", "limit", "8000");
+      }
+      int taken = 0;
+      for (int i = 0; i < 2; i++) { // twice round by way of the engine: all has been read
+        act(() -> actions.probe(ENGINE));
+        String line = sentOn.request();
+        for (; line.startsWith("ASK"); line = sentOn.request()) {
+          taken++;
+          sentOn.say(line.split(" ")[1] + SERVED);
+        }
+        sentOn.say(line.split(" ")[1] + " UP - 0\r\n\r\n");
+      }
+      int answered = 0;
+      for (ThriftClient c : resting) {
+        if (c.ended()) {
+          assertNoReset(c);
+        } else {
+          answered++;
+        }
+      }
+      assertEquals(taken, answered);
+    } finally {
+      for (ThriftClient c : resting) {
+        c.close();
+      }
+    }
+  }
+
   private int pending() {
     int[] pending = new int[1];
     CountDownLatch asked = new CountDownLatch(1);
