--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -90,12 +90,15 @@
   private final Engines engines;
   private final ChangeLog changeLog;
   private final Clients clients;
+  private final int mostClients;
   private final Slots<Request> requests;
   private final Map<String, Request> byId = new HashMap<>();
   private long heldBytes;
   private final AtomicLong unsent = new AtomicLong();
   private boolean good;
   private long mostIdle = MOST_IDLE;
+  /** No more clients are taken; some may have come up that the loop has not heard of. */
+  private boolean closed;
   /** Hears of engines; null where nobody does. */
   private Observer observer;
   /** Once the gateway is to stop: by when all must be answered; else the largest time. */
@@ -108,7 +111,8 @@
     module = factory.apply(this);
     int third = config.sockets() / 3;
     sockets = new Sockets(third + third / ARRIVING_PART);
-    clients = new Clients(third);
+    clients = new Clients(third + third / ARRIVING_PART);
+    mostClients = third;
     requests = new Slots<>(config.transport().maxOpen());
     closing = new Closing(loop, sockets, config.transport().dialTimeout(), third / ARRIVING_PART);
     engines = new Engines(loop, sockets, closing, this, config.transport(),
@@ -188,6 +192,7 @@
 
   /** Takes no more clients, and closes the connections once what they are owed is written. */
   public void close() {
+    closed = true;
     sockets.unbind();
     clients.all().forEach(this::hangUp);
   }
@@ -260,6 +265,10 @@
     @Override
     public void opened(IoSession session) {
       loop.post(0, () -> {
+        if (closed) { // what it has asked would be sent on, with nobody left to answer it
+          closing.end(session);
+          return;
+        }
         Client c = new Client(session, loop.now());
         if (!admit(c)) {
           session.closeNow();
@@ -313,10 +322,13 @@
     }
   }
 
-  /** Closes the clients that never say anything whole, stop within a message, or only hold on. */
+  /**
+   * Closes the clients that never say anything whole, stop within a message, or only hold on: no more at once
+   * than can end in order. The others go with the next sweep, or make room for new ones before.
+   */
   private void sweep() {
     long now = loop.now();
-    for (Client c = overdue(now); c != null; c = overdue(now)) {
+    for (Client c = overdue(now); c != null && closing.hasRoom(); c = overdue(now)) {
       hangUp(c);
     }
     engines.sweep();
@@ -327,14 +339,26 @@
     return clients.overdue(now - MOST_SILENCE, now - mostIdle);
   }
 
-  /** Takes a client in, with the table full in the place of another one; false where all have work open. */
+  /**
+   * Takes a client in; false where the table is full and all in it have work open. Past their number another
+   * one gives way, but not at once: what has been read of it by now counts first.
+   */
   private boolean admit(Client c) {
-    Client other = clients.add(c) ? null : clients.inTheWay(loop.now() - FIRST_WORDS);
+    if (!clients.add(c)) {
+      makeRoom();
+      return clients.add(c);
+    }
+    if (clients.size() > mostClients) {
+      loop.post(0, this::makeRoom);
+    }
+    return true;
+  }
+
+  private void makeRoom() {
+    Client other = clients.size() > mostClients ? clients.inTheWay(loop.now() - FIRST_WORDS) : null;
     if (other != null) {
       hangUp(other);
-      return clients.add(c);
     }
-    return c.handle != Slots.NONE;
   }
 
   private void hangUp(Client c) {
