--- a/gateway/src/main/java/reachloom/Main.java
+++ b/gateway/src/main/java/reachloom/Main.java
@@ -30,6 +30,8 @@
   private static final int COLUMNS = 100;
   /** What only operators use, with the libraries that takes, stays out of the gateway's jar. */
   private static final String TOOLS = "reachloom-tools.jar";
+  private static final Map<String, String> TOOL =
+      Map.of("gossip", "reachloom.tools.GossipTool", "revision", "reachloom.tools.RevisionTool");
   private static final String COMMANDS = String.join(System.lineSeparator(),
       "",
       "commands:",
@@ -38,6 +40,7 @@
       "  check-config FILE   read a configuration (JSON) or settings (XML) and say what is wrong with it",
       "  rehearse            start with a made-up configuration on loopback, then stop (see deploy)",
       "  gossip COMMAND      keys, certificates and status of gossip; needs " + TOOLS + " beside this jar",
+      "  revision COMMAND    an issuer of the configuration, and documents for it; needs " + TOOLS + " too",
       "  version             print the version",
       "",
       "options:");
@@ -53,8 +56,9 @@
   }
 
   static int run(String[] args, PrintStream out, PrintStream err) throws IOException, InterruptedException {
-    if (args.length > 0 && args[0].equals("gossip")) {
-      return tools("reachloom.tools.GossipTool", Arrays.copyOfRange(args, 1, args.length), out, err);
+    String tool = args.length == 0 ? null : TOOL.get(args[0]);
+    if (tool != null) {
+      return tools(tool, Arrays.copyOfRange(args, 1, args.length), out, err);
     }
     Options options = new Options().addOption("h", "help", false, "print this text")
         .addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -274,7 +274,7 @@
         + port.dropped());
     lines.add("refused " + doorway.refused());
     if (revisions != null) {
-      lines.addAll(revisions.dissemination().lines(now));
+      lines.addAll(revisions.lines(now));
     }
     membership.members().forEach(m -> lines.add("member " + m.name() + " "
         + GossipPort.address(m.address()).toString().substring(1) + " " + m.state() + " incarnation "
--- a/gateway/src/main/java/reachloom/gossip/net/Revisions.java
+++ b/gateway/src/main/java/reachloom/gossip/net/Revisions.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -10,6 +11,7 @@
 import reachloom.config.GossipSettings;
 import reachloom.gateway.Loop;
 import reachloom.gossip.Rider;
+import reachloom.revision.Council;
 import reachloom.revision.Dissemination;
 import reachloom.revision.Outlet;
 import reachloom.revision.Peer;
@@ -35,7 +37,10 @@
   private final Loop loop;
   private final Installer installer;
   private final Dissemination dissemination;
+  private final List<Peer> issuers;
   private volatile Seal seal;
+  /** Null where this instance is no issuer. */
+  private Council council;
 
   Revisions(Loop loop, String name, GossipSettings settings, Identity identity, long seed, Outlet outlet,
       Installer installer) throws ConfigException {
@@ -43,10 +48,26 @@
     this.installer = installer;
     ConfigurationSettings c = settings.configuration().orElseThrow();
     reload(settings, identity);
-    List<Peer> issuers = c.issuers().stream()
+    issuers = c.issuers().stream()
         .map(i -> new Peer(i.name(), GossipPort.number(i.address()), 0)).toList();
     boolean issuer = issuers.stream().anyMatch(i -> i.name().equals(name));
-    dissemination = new Dissemination(name, c.place(), issuer, issuers, c.quorum(), new Seal() {
+    dissemination = new Dissemination(name, c.place(), issuer, issuers, c.quorum(), seal(),
+        new SplittableRandom(seed), outlet, this, loop.now());
+  }
+
+  /** Reads the issuers' certificates anew. */
+  void reload(GossipSettings settings, Identity identity) throws ConfigException {
+    seal = IssuersSeal.read(settings.configuration().orElseThrow(), identity, loop.now() / MILLISECOND);
+  }
+
+  /** The member's part; for the loop's thread. */
+  public Dissemination dissemination() {
+    return dissemination;
+  }
+
+  /** What signs and proves votes, whatever certificates are read anew. */
+  public Seal seal() {
+    return new Seal() {
       @Override
       public byte[] sign(byte[] chain) {
         return seal.sign(chain);
@@ -56,22 +77,26 @@
       public boolean proves(String of, byte[] chain, byte[] signature) {
         return seal.proves(of, chain, signature);
       }
-    }, new SplittableRandom(seed), outlet, this, loop.now());
+    };
   }
 
-  /** Reads the issuers' certificates anew. */
-  void reload(GossipSettings settings, Identity identity) throws ConfigException {
-    seal = IssuersSeal.read(settings.configuration().orElseThrow(), identity, loop.now() / MILLISECOND);
+  /** All issuers that the settings name, where they listen. */
+  public List<Peer> issuers() {
+    return issuers;
   }
 
-  /** The member's part; for the loop's thread. */
-  public Dissemination dissemination() {
-    return dissemination;
+  /** This instance is an issuer; before it starts. */
+  public void join(Council of) {
+    council = of;
   }
 
-  /** What signs and proves votes, whatever certificates are read anew. */
-  public Seal seal() {
-    return seal;
+  /** What there is to tell, in lines of ASCII. */
+  List<String> lines(long now) {
+    List<String> lines = new ArrayList<>(dissemination.lines(now));
+    if (council != null) {
+      lines.addAll(council.lines());
+    }
+    return lines;
   }
 
   // ---- What rides on gossip ----
@@ -84,6 +109,9 @@
   @Override
   public void hear(long now, Peer sender, List<Word> words) {
     dissemination.hear(now, sender, words);
+    if (council != null) {
+      council.hear(now, sender, words);
+    }
   }
 
   @Override
