Dissemination: large documents reach all that hold none within the aim

Pieces of 640 bytes, as gossip's packets hold 700 of words; a large document is pushed to one at a time, and who waits in vain turns to whoever tells next.

--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import reachloom.revision.Neighbours.Other;
+import reachloom.revision.Neighbours.Strike;
 import reachloom.state.TokenBucket;
 
 /**
@@ -73,7 +74,7 @@
   private static final long STANDSTILL = SECOND; // between two ticks
   private static final int TRIES = 2; // questions to one peer without a piece
   private static final int QUICK_PEERS = 4; // asked one after the other, before there are pauses
-  private static final int MOST_PAUSE_DOUBLINGS = 2;
+  private static final long PAUSE = 500 * MILLI; // on average
   private static final int MOST_SOURCES = 8;
   private static final int MOST_DRAFTS = 8;
   private static final int MOST_DRAFT_FETCHES = 4;
@@ -261,7 +262,7 @@
   private void notice(long now, Peer sender, Word.Notice n) {
     Revision r = n.revision();
     if (!sane(r, n.votes())) {
-      neighbours.strike(now, sender.name(), true);
+      neighbours.strike(now, sender.name(), Strike.LIED);
       return;
     }
     Asked question = asked.remove(sender.name());
@@ -273,7 +274,7 @@
     } else if (!proofs.take(now)) {
       return; // it will be told again
     } else if (!proved(r, n.votes())) {
-      neighbours.strike(now, sender.name(), true);
+      neighbours.strike(now, sender.name(), Strike.LIED);
       return;
     } else if (standing == RevisionLog.Standing.FORK) {
       forked(now, r);
@@ -282,9 +283,9 @@
       source(now, sender);
     }
     if (question != null && question.number > log.newestNumber()) {
-      neighbours.strike(now, sender.name(), false); // it can't prove what it says
+      neighbours.strike(now, sender.name(), Strike.UNPROVED); // it can't prove what it says
     } else {
-      neighbours.good(sender.name());
+      neighbours.good(sender.name(), question != null);
     }
   }
 
@@ -313,7 +314,7 @@
       o.known = Math.max(o.known, r.number());
     }
     if (fetch != null && fetch.revision.equals(r)) {
-      source(now, sender);
+      pushed(now, sender);
     }
     RevisionLog.Entry in = log.inForce();
     boolean done = in != null && in.revision().number() == r.number()
@@ -328,10 +329,16 @@
     if (sources.size() < MOST_SOURCES) {
       sources.put(peer.name(), peer);
     }
-    // The zone's own go first, also where one from elsewhere was asked and has sent nothing yet.
-    if (fetch != null && fetch.from != null && isOfZone(peer) && !isOfZone(fetch.from) && fetch.isEmpty()
-        && !neighbours.rests(now, peer.name())) {
+  }
+
+  /** That one has just told of the newest: of a large one, it tells when nobody waits for it there. */
+  private void pushed(long now, Peer peer) {
+    source(now, peer);
+    boolean free = fetch != null && fetch.isEmpty() && !neighbours.rests(now, peer.name())
+        && (fetch.from == null || isOfZone(peer) && fetch.from != peer);
+    if (free) {
       fetch.ask(now, peer);
+      fetchAt = now;
     }
   }
 
@@ -398,7 +405,7 @@
     if (fetch != null) {
       byte[] document = take(now, fetch, sender, p);
       if (document != null) {
-        neighbours.good(sender.name());
+        neighbours.good(sender.name(), false);
         log.document(fetch.revision.number(), document);
         arrived(now, 1);
       }
@@ -423,7 +430,7 @@
     if (document == null) {
       String liar = f.liar();
       if (liar != null) {
-        neighbours.strike(now, liar, true);
+        neighbours.strike(now, liar, Strike.LIED);
         sources.remove(liar);
       }
       f.from = f.then == null ? null : f.from;
@@ -462,7 +469,7 @@
     for (Map.Entry<String, Asked> a : List.copyOf(asked.entrySet())) {
       if (now >= a.getValue().until) {
         asked.remove(a.getKey());
-        neighbours.strike(now, a.getKey(), false);
+        neighbours.strike(now, a.getKey(), Strike.UNPROVED);
       }
     }
     if (applying != null && !alarmed && now - applyingSince > APPLIED) {
@@ -634,15 +641,13 @@
     boolean silent = f.from != null
         && (f.late(now) && (f.isEmpty() || f.tries >= TRIES) || now >= f.leaveAt);
     if (silent) {
-      neighbours.strike(now, f.from.name(), false);
+      neighbours.strike(now, f.from.name(), Strike.SILENT);
       f.from = null;
     }
     if (f.from == null) {
-      int over = f.peersTried - QUICK_PEERS;
       Peer next = whom(now, f);
-      if (silent && over >= 0 || next == null) {
-        long pause = SEEK << Math.min(Math.max(over, 0), MOST_PAUSE_DOUBLINGS);
-        fetchAt = now + pause / 2 + random.nextLong(pause);
+      if (silent && f.peersTried >= QUICK_PEERS || next == null) {
+        fetchAt = now + PAUSE / 2 + random.nextLong(PAUSE);
         if (next == null) {
           return;
         }
--- a/decisions/src/main/java/reachloom/revision/Fetch.java
+++ b/decisions/src/main/java/reachloom/revision/Fetch.java
@@ -8,8 +8,8 @@
 
 /** A document that is being pulled, piece by piece, from one peer at a time. */
 final class Fetch {
-  /** Bytes of a piece: with names, signature and a certificate it still fits a datagram. */
-  static final int PIECE = 768;
+  /** Bytes of a piece: as many as one packet has room for beside a certificate and the longest names. */
+  static final int PIECE = 640;
   /** Pieces sent for one question: a document of the usual size takes one or two round trips. */
   static final int WINDOW = 6;
   private static final int MOST_PIECES = pieces(Revision.MOST_DOCUMENT);
--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -30,6 +30,16 @@
     }
   }
 
+  /** What is held against another. */
+  enum Strike {
+    /** It did not answer; a packet may have been lost, or it has much to do. */
+    SILENT,
+    /** It did not prove what it claims; its rest doubles. */
+    UNPROVED,
+    /** What it sent is not so; its rest doubles, and it is not heard either. */
+    LIED
+  }
+
   private static final class Rest {
     private long until;
     private int strikes;
@@ -108,8 +118,8 @@
     return drawn;
   }
 
-  /** That one did not do as it said: it is not asked for a time that doubles; who lied isn't heard either. */
-  void strike(long now, String name, boolean lied) {
+  /** That one did not do as it said, and is not asked for a time. */
+  void strike(long now, String name, Strike why) {
     Rest r = resting.get(name);
     if (r == null) {
       if (resting.size() >= MOST_RESTING) {
@@ -119,14 +129,15 @@
       r = new Rest();
       resting.put(name, r);
     }
-    r.until = now + (REST << Math.min(r.strikes++, MOST_DOUBLINGS));
-    r.lied |= lied;
+    r.until = Math.max(r.until, now + (REST << Math.min(r.strikes, MOST_DOUBLINGS)));
+    r.strikes += why == Strike.SILENT ? 0 : 1;
+    r.lied |= why == Strike.LIED;
   }
 
-  /** That one did as it said: what was lost before is forgotten, a lie is not. */
-  void good(String name) {
+  /** That one has sent what it was asked for; where it also proved what it had claimed, more is forgotten. */
+  void good(String name, boolean proved) {
     Rest r = resting.get(name);
-    if (r != null && !r.lied) {
+    if (r != null && !r.lied && (proved || r.strikes == 0)) {
       resting.remove(name);
     }
   }
--- a/decisions/src/main/java/reachloom/revision/Serving.java
+++ b/decisions/src/main/java/reachloom/revision/Serving.java
@@ -32,9 +32,9 @@
   // Who has waited for so long (nanoseconds) has asked another by now.
   private static final long PATIENCE = 1_500_000_000;
   private static final int MOST_ASKERS = 256;
-  // for one asker; a document has 22, asked for again where some were lost
-  private static final int PIECES_A_SECOND = 48;
-  private static final int PIECES_A_TICK = 24; // where the budget bears it: 240 KB a second
+  // for one asker; a document has 26, asked for again where some were lost
+  private static final int PIECES_A_SECOND = 52;
+  private static final int PIECES_A_TICK = 24; // where the budget bears it: 200 KB a second
 
   private final Map<String, Order> orders = new LinkedHashMap<>();
   private final Map<String, TokenBucket> askers = new LinkedHashMap<>();
