--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -156,7 +156,7 @@
     peers(List.of());
   }
 
-  /** Who is present now, this member not among them; to be called when it has changed, once a tick at most. */
+  /** Who is present now, this member not among them; to be called when it has changed, once a tick. */
   public void peers(Collection<Peer> present) {
     neighbours.present(present);
     Set<String> names = new TreeSet<>();
