--- a/lab/src/main/java/reachloom/lab/slopes/SlopesCommand.java
+++ b/lab/src/main/java/reachloom/lab/slopes/SlopesCommand.java
@@ -63,7 +63,8 @@
     int[] engines = numbers(line, "engines", ofEngines ? "12,60,150,300,630" : "12", 1_000);
     int[] connections = numbers(line, "connections", "500,1000,2000,4000", 4_900);
     OptionalLong idle = line.hasOption("idle-timeout-ms")
-        ? OptionalLong.of(Arguments.number(line, "idle-timeout-ms", 0, 1_000, 86_400_000)) : OptionalLong.empty();
+        ? OptionalLong.of(Arguments.number(line, "idle-timeout-ms", 0, 1_000, 86_400_000))
+        : OptionalLong.empty();
     boolean kept = line.hasOption("logs");
     Path jar = Arguments.jar(line);
     int heapMb = Arguments.number(line, "heap-mb", 64, 16, 2_048);
