What a client sent is not taken where its end came with it: floods that go begin nothing

Cause: a connection was read in rounds of 2 to 16 KiB and each round's requests were taken at once, so that a client's end was seen only behind all that it had sent, in as many rounds as all connections had (Sockets, MOST_READ; Gateway.Heard.received). Now a connection is read until nothing is there, up to 256 KiB in one go, and what was read together with its end is dropped: nothing is owed to a client that has gone. The test fails without the line in Gateway, five of five runs.

--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -261,6 +261,9 @@
 
     @Override
     public void received(IoSession session, ClientCall call, int bytes) {
+      if (Sockets.hasEnded(session)) {
+        return; // it has gone: nothing is owed to it, and nothing may begin
+      }
       long at = loop.now();
       loop.post(bytes, () -> {
         Client c = client(session);
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -17,6 +17,7 @@
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -30,9 +31,13 @@
   private static final int LEAST_READ = 512;
   private static final int FIRST_READ = 2048;
   private static final int MOST_READ = 16 * 1024;
+  /** Bytes that are read from a connection in one go where so much is there. */
+  private static final int MOST_AT_ONCE = 256 * 1024;
   private static final long CONNECT_CHECK_MS = 50;
   private static final long FULL_PAUSE_MS = 2;
 
+  private static final AttributeKey ENDED = new AttributeKey(Sockets.class, "ended");
+
   private final ExecutorService threads = Executors.newCachedThreadPool(r -> {
     Thread t = new Thread(r, "sockets");
     t.setDaemon(true);
@@ -41,12 +46,26 @@
   private final HalfClosing processor = new HalfClosing(threads);
   private final BoundedAcceptor acceptor;
 
-  /** The library's, which can also shut the output of a connection alone. */
+  /**
+   * The library's, which can also shut the output of a connection alone. It reads all that is there before
+   * anything of it is passed on, so that one who sends much and goes has gone before the first of it counts.
+   */
   private static final class HalfClosing extends NioProcessor {
     HalfClosing(Executor threads) {
       super(threads);
     }
 
+    @Override
+    protected int read(NioSession session, IoBuffer buffer) throws Exception {
+      int read = super.read(session, buffer);
+      if (read < 0) {
+        session.setAttribute(ENDED);
+      } else if (!buffer.hasRemaining() && buffer.capacity() < MOST_AT_ONCE) {
+        buffer.expand(buffer.capacity()); // the library goes on while there is room
+      }
+      return read;
+    }
+
     private void shutOutput(IoSession session) {
       for (SelectionKey key : selector.keys()) {
         if (key.attachment() == session && key.channel() instanceof SocketChannel channel) {
@@ -70,6 +89,11 @@
     DecodingHandler.onceWritten(session, () -> processor.shutOutput(session));
   }
 
+  /** Whether the other side has sent its last; known with the last of what it sent, or later. */
+  public static boolean hasEnded(IoSession session) {
+    return session.containsAttribute(ENDED);
+  }
+
   /** Sockets of which at most that many are held for clients; further ones wait in the system's queue. */
   public Sockets(int mostClients) {
     acceptor = new BoundedAcceptor(mostClients);
--- a/gateway/src/test/java/reachloom/gateway/OrdersGateway.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersGateway.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -155,11 +156,21 @@
     return go;
   }
 
+  private Object ofLoop(String name) throws ReflectiveOperationException {
+    Field field = Loop.class.getDeclaredField(name);
+    field.setAccessible(true);
+    return field.get(loop);
+  }
+
+  /** While the loop is held: waits until the thread of the sockets waits for it, with no room for more. */
+  void awaitFull() throws Exception {
+    Semaphore room = (Semaphore) ofLoop("room");
+    await(room::hasQueuedThreads);
+  }
+
   /** While the loop is held: waits until that much waits for it, as an opening or an end of a connection. */
   void awaitQueued(int wanted) throws Exception {
-    Field field = Loop.class.getDeclaredField("queue");
-    field.setAccessible(true);
-    Handover<?> queue = (Handover<?>) field.get(loop);
+    Handover<?> queue = (Handover<?>) ofLoop("queue");
     await(() -> queue.size() >= wanted);
     assertEquals(wanted, queue.size());
   }
--- a/gateway/src/test/java/reachloom/gateway/OrdersOfClientsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfClientsTest.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,6 +30,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import reachloom.Decisions.Query;
 import reachloom.standin.ChangeLogStandIn;
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.NodeStandIn;
@@ -90,9 +92,9 @@
   // ---- Many messages, and gone ----
 
   /** Sends a flood of held requests that ends at once; gives when it had gone, by the Unix clock. */
-  private long flood(int number, boolean reset) throws IOException {
+  private long flood(int number, boolean reset, int requests) throws IOException {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
-    for (int i = 1; i <= 2 * MOST_OPEN; i++) {
+    for (int i = 1; i <= requests; i++) {
       all.write(execute(i, String.format("%08x%08x", number, i), HELD, LONG));
     }
     try (ThriftClient c = new ThriftClient(gateway.config.listen())) {
@@ -128,7 +130,7 @@
       List<Long> goneAt = new ArrayList<>();
       int first = floods;
       for (int i = 0; i < 8; i++) {
-        goneAt.add(flood(floods++, reset));
+        goneAt.add(flood(floods++, reset, 2 * MOST_OPEN)); // half of it is refused
       }
       gateway.allHasBeenDealtWith(); // another client's words, sent after the last one had gone
       await(() -> gateway.held("clients") == 1); // and all that goings are read behind
@@ -153,6 +155,37 @@
     assertTrue(gateway.held("connections") <= 16);
   }
 
+  @Test
+  void aFloodThatHasGoneBeforeItIsReadIsNotTaken() throws Exception {
+    gateway.sendTo = q -> ENGINE;
+    CountDownLatch go = gateway.hold();
+    CompletableFuture<Void> filled = new CompletableFuture<>();
+    NodeStandIn.daemon(() -> {
+      try (ThriftClient filler = new ThriftClient(gateway.config.listen())) {
+        byte[] words = bytes(ThriftWords.interrupt(1, 1)); // of nothing: owed no answer
+        byte[] many = new byte[words.length * 10_000];
+        for (int at = 0; at < many.length; at += words.length) {
+          System.arraycopy(words, 0, many, at, words.length);
+        }
+        for (int sent = 0; sent < 6 << 20; sent += many.length) { // more than may wait for the loop
+          filler.raw(many);
+        }
+        filled.complete(null);
+      } catch (IOException e) {
+        filled.completeExceptionally(e);
+      }
+    });
+    gateway.awaitFull();
+    for (int i = 0; i < 8; i++) {
+      flood(i, false, MOST_OPEN / 2); // no more than the system takes at once
+    }
+    go.countDown();
+    filled.get();
+    gateway.allHasBeenDealtWith();
+    gateway.assertNothingKept();
+    assertNull(gateway.told.stream().filter(Query.class::isInstance).findFirst().orElse(null));
+  }
+
   // ---- In pieces, all at once, slowly ----
 
   /** What a client says: a query, one that is given up again, whether the gateway is ready, and no method. */
