--- a/lab/src/main/java/reachloom/lab/slopes/GatewayRig.java
+++ b/lab/src/main/java/reachloom/lab/slopes/GatewayRig.java
@@ -123,7 +123,10 @@
     Map<String, Object> row = new LinkedHashMap<>();
     row.put("sent_per_s", rounded(o.sent() / span, 1));
     row.put("answered_per_s", rounded(o.answered() / span, 1));
-    row.put("refused_failed_lost", o.refused() + o.failed() + o.lost());
+    row.put("refused", o.refused());
+    row.put("failed", o.failed());
+    row.put("lost", o.lost());
+    row.put("unsent", o.unsent());
     row.put("cores", rounded(after.fineCores(before), 5));
     row.put("cores_by_stat", rounded(after.cores(before), 4));
     for (String kind : Counted.KINDS) {
--- a/lab/src/main/java/reachloom/lab/slopes/Measurement.java
+++ b/lab/src/main/java/reachloom/lab/slopes/Measurement.java
@@ -16,7 +16,7 @@
   private static final int CONNECTIONS = 64; // that statements come on, where their number is not the size
   private static final int GATEWAYS = 580;
   private static final int ENGINES = 630;
-  private static final int WARM_RATE = 1_000;
+  private static final double ALL_OVER_S = 4; // whatever was open has been answered or given up by then
   private static final double FULL = 0.9; // of a core, by one thread
   private static final double LAGS = 0.05; // of what was sent, or so many a second
   private static final double LEAST_LAG = 5;
@@ -29,8 +29,8 @@
   private static final double KILOBYTES = 1_024;
 
   /** What is wanted. */
-  record Wanted(Path folder, Path jar, int heapMb, int warmS, int settleS, int seconds, int rounds,
-      int[] rates, int[] engines, int[] connections, List<String> classes, List<String> patterns,
+  record Wanted(Path folder, Path jar, int heapMb, int warmS, int warmRate, int settleS, int seconds,
+      int rounds, int[] rates, int[] engines, int[] connections, List<String> classes, List<String> patterns,
       int believed, double probePrice, OptionalLong idleTimeoutMs, long seed) {
   }
 
@@ -63,11 +63,11 @@
   private void warm(GatewayRig rig) throws InterruptedException {
     rig.clients().open(CONNECTIONS);
     for (String c : SlopesCommand.CLASSES) {
-      rig.clients().pace(WARM_RATE, c, Gaps.EVEN);
+      rig.clients().pace(wanted.warmRate, c, Gaps.EVEN);
       pause((double) wanted.warmS / SlopesCommand.CLASSES.size());
     }
     rig.clients().pace(0, "quick", Gaps.EVEN);
-    pause(1);
+    pause(ALL_OVER_S);
   }
 
   private static void pause(double seconds) throws InterruptedException {
@@ -157,7 +157,7 @@
             of.add(row(c + " " + rate + (wanted.rounds > 1 ? " round " + round : ""), rig, wanted.seconds));
           }
           rig.clients().pace(0, c, Gaps.EVEN);
-          pause(1);
+          pause(ALL_OVER_S);
           rows.computeIfAbsent(c, k -> new ArrayList<>()).add(of);
         }
       }
