Lab: scale plays real and hollow gateways, control machines and changes of configuration

The planned size (580 gateways, 630 engines, 5 control machines) could not be played: fleet is one process a gateway, and gossip at most 32 on sockets.

`reachloom-lab scale`: real gateways are processes of the program with clients; hollow ones are the program's own Gateway, Loop, ChangeLog, GossipNode and Choice without a door for clients, about a hundred in a process; control machines are processes that serve the change log (ListServer, which fleet's engines host uses, too). Scripts gain regions, control and configuration, which fleet refuses. Changes of configuration go through ConfigurationSource: today each file is replaced and SIGHUP sent. A run that the machine could not bear is void, with status 3. All parts end with the run: their input breaks.

Opened in the gateway, without a change of what it does: Gateway.abandon, Sockets.abandon (connections end at once), GossipNode.abandon (port closes without a word), GossipNode.traffic (counts at the port; the status line `bytes` tells datagrams sent and received, too). Truth.cutOff: what a control machine can't tell binds no gateway that follows it.

Run: ScaleRunTest 3 (control traffic of a real and a hollow gateway within 10%), InForceTest 4, ScaleEndsTest 2, RigEndsTest 2, LabShapeTest 2, ShapeTest 11, ScriptTest 3 pass at load 35 to 50. GossipSocketsTest passed 7 of 7 once and 6 of 7 once at that load: there the one that left was taken for dead first.

--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -182,6 +182,11 @@
     clients.all().forEach(this::hangUp);
   }
 
+  /** Ends all connections at once, as the end of the process would: for many gateways in one process. */
+  public void abandon() {
+    sockets.abandon();
+  }
+
   /** How many connections are still on their way to their end. */
   public int closing() {
     return closing.pending();
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -6,9 +6,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,6 +42,7 @@
   });
   private final HalfClosing processor = new HalfClosing(threads);
   private final BoundedAcceptor acceptor;
+  private final List<NioSocketConnector> connectors = new CopyOnWriteArrayList<>();
 
   /** The library's, which can also shut the output of a connection alone. */
   private static final class HalfClosing extends NioProcessor {
@@ -125,9 +128,18 @@
     acceptor.unbind();
   }
 
+  /** Ends all connections and threads at once; nothing can be made of this any more. */
+  public void abandon() {
+    acceptor.dispose();
+    connectors.forEach(NioSocketConnector::dispose);
+    processor.dispose();
+    threads.shutdown();
+  }
+
   /** A connector whose connections that handler serves. */
   public NioSocketConnector connector(IoHandler handler) {
     NioSocketConnector connector = new NioSocketConnector(threads, processor);
+    connectors.add(connector);
     connector.setHandler(handler);
     connector.setConnectTimeoutCheckInterval(CONNECT_CHECK_MS);
     configure(connector.getSessionConfig());
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -38,6 +38,10 @@
   private static final int PAGE = 900; // bytes of a page of status
   private static final int MOST_PAGES = 200;
 
+  /** What went through the port so far; bytes count what IP and UDP add. */
+  public record Traffic(long sent, long sentBytes, long received, long receivedBytes) {
+  }
+
   private final Loop loop;
   private final GossipSettings settings;
   private final Doorway doorway;
@@ -115,6 +119,17 @@
     }
   }
 
+  /** Closes the port without a word, as the end of the process would. */
+  public void abandon() {
+    over = true;
+    port.abandon();
+  }
+
+  /** What went through the port so far; from any thread. */
+  public Traffic traffic() {
+    return port.traffic();
+  }
+
   public Gossip gossip() {
     return gossip;
   }
@@ -236,7 +251,8 @@
     lines.add("instance " + identity.name() + " cluster " + settings.cluster() + " incarnation "
         + membership.incarnation() + " health " + membership.health() + " members " + membership.size());
     lines.add("bytes sent " + sent + " cap " + settings.bytesPerSecond() + " a second, datagrams dropped "
-        + port.dropped());
+        + port.dropped() + ", sent " + port.traffic().sent() + ", received " + port.traffic().received()
+        + " of " + port.traffic().receivedBytes() + " bytes");
     lines.add("refused " + doorway.refused());
     membership.members().forEach(m -> lines.add("member " + m.name() + " "
         + GossipPort.address(m.address()).toString().substring(1) + " " + m.state() + " incarnation "
--- a/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
@@ -40,6 +40,10 @@
   private final Consumer<Doorway.Entered> entered;
   private final ArrayBlockingQueue<Out> out = new ArrayBlockingQueue<>(MOST_OUT);
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong sent = new AtomicLong();
+  private final AtomicLong sentBytes = new AtomicLong();
+  private final AtomicLong received = new AtomicLong();
+  private final AtomicLong receivedBytes = new AtomicLong();
   private volatile Identity identity;
 
   GossipPort(InetSocketAddress listen, Doorway doorway, Identity identity, LongSupplier clock,
@@ -72,6 +76,11 @@
     }
   }
 
+  /** What went through the port so far. */
+  GossipNode.Traffic traffic() {
+    return new GossipNode.Traffic(sent.get(), sentBytes.get(), received.get(), receivedBytes.get());
+  }
+
   long dropped() {
     return dropped.get();
   }
@@ -84,6 +93,8 @@
         InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
         byte[] bytes = new byte[buffer.flip().remaining()];
         buffer.get(bytes);
+        received.incrementAndGet();
+        receivedBytes.addAndGet(bytes.length + GossipCodec.UDP);
         Doorway.Entered e = doorway.enter(clock.getAsLong(), number(from), bytes);
         if (e != null) {
           entered.accept(e);
@@ -108,6 +119,8 @@
         byte[] whole = Arrays.copyOf(o.unsigned, o.unsigned.length + signature.length);
         System.arraycopy(signature, 0, whole, o.unsigned.length, signature.length);
         channel.send(ByteBuffer.wrap(whole), address(o.address));
+        sent.incrementAndGet();
+        sentBytes.addAndGet(whole.length + GossipCodec.UDP);
       } catch (ClosedChannelException e) {
         return;
       } catch (IOException | GeneralSecurityException | RuntimeException e) {
@@ -125,6 +138,13 @@
     }
   }
 
+  /** Closes the port at once, as the end of the process would. */
+  void abandon() {
+    out.clear();
+    shut();
+    out.offer(LAST); // ends the thread that waits for something to sign
+  }
+
   private void shut() {
     try {
       channel.close();
--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -12,6 +12,7 @@
 import reachloom.lab.command.Command;
 import reachloom.lab.fleet.FleetCommand;
 import reachloom.lab.gossip.GossipCommand;
+import reachloom.lab.scale.ScaleCommand;
 
 /** Entry point of the laboratory: picks a command by its name. */
 public final class Lab {
@@ -23,6 +24,7 @@
     COMMANDS.put("demo", new Demo());
     COMMANDS.put("gossip", new GossipCommand());
     COMMANDS.put("fleet", new FleetCommand());
+    COMMANDS.put("scale", new ScaleCommand());
   }
 
   private Lab() {
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -71,6 +71,10 @@
     } catch (Script.Unusable e) {
       throw new ParseException("--script: " + e.getMessage());
     }
+    if (script.ofInstallation()) {
+      throw new ParseException("--script: " + script.name() + " speaks of regions, control or configuration, "
+          + "which only scale has");
+    }
     String policy = line.getOptionValue("policy", "reachloom");
     Map<String, Object> figures;
     if (mode.equals("virtual")) {
--- a/lab/src/main/java/reachloom/lab/rig/Director.java
+++ b/lab/src/main/java/reachloom/lab/rig/Director.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import reachloom.standin.model.EngineModel;
 import reachloom.standin.model.EngineModel.Mood;
 
@@ -25,6 +26,8 @@
   }
 
   private final World world;
+  private final int count;
+  private final Consumer<Trouble> others;
   private final Gateways gateways;
   private final Workload workload;
   private final Truth truth;
@@ -32,7 +35,17 @@
 
   /** A director over that world; what it does to gateways is done by others. */
   public Director(World world, Gateways gateways, Workload workload, Truth truth) {
+    this(world, world.plan.gateways(), gateways, workload, truth, t -> {
+      throw new IllegalStateException("nobody here can bring about " + t);
+    });
+  }
+
+  /** The same over so many gateways; what meets none of these things is brought about by others. */
+  public Director(World world, int count, Gateways gateways, Workload workload, Truth truth,
+      Consumer<Trouble> others) {
     this.world = world;
+    this.count = count;
+    this.others = others;
     this.gateways = gateways;
     this.workload = workload;
     this.truth = truth;
@@ -64,7 +77,7 @@
         workload.surge(t.zone(), t.by());
         later(t.length(), () -> workload.surge(t.zone(), 1));
       }
-      default -> throw new IllegalStateException(t.toString());
+      default -> others.accept(t);
     }
   }
 
@@ -98,7 +111,7 @@
 
   private List<Integer> drawGateways(double share, int zone) {
     List<Integer> all = new ArrayList<>();
-    for (int g = 0; g < world.plan.gateways(); g++) {
+    for (int g = 0; g < count; g++) {
       if (zone < 0 || world.plan.zoneOf(g) == zone) {
         all.add(g);
       }
--- a/lab/src/main/java/reachloom/lab/rig/Hosts.java
+++ b/lab/src/main/java/reachloom/lab/rig/Hosts.java
@@ -4,8 +4,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.UnknownHostException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -18,7 +16,6 @@
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
-import reachloom.gateway.wire.Decoder;
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.Listener;
 import reachloom.standin.model.EngineModel;
@@ -29,10 +26,7 @@
  * zone, so that the way between two zones can be made bad; what is lost on a way that is cut comes once it is
  * well again, as it would by TCP, where the connection has not been given up meanwhile.
  */
-final class Hosts implements AutoCloseable {
-  private static final int FIRST_OCTET = 40; // of 127.x: an x for the gateways of each zone
-  private static final int LIST_HOST = 250;
-  private static final int HOSTS = 200;
+public final class Hosts implements AutoCloseable {
   private static final int SOCKET_THREADS = 3;
   private static final int BACKLOG = 1_024;
   private static final int READ = 2_048;
@@ -57,7 +51,7 @@
   private final Truth truth;
   private final int port;
   private final NioSocketAcceptor engines = new NioSocketAcceptor(SOCKET_THREADS);
-  private final List<NioSocketAcceptor> lists = new ArrayList<>();
+  private final List<ListServer> lists = new ArrayList<>();
   private final Map<InetSocketAddress, EngineModel> byAddress = new HashMap<>();
   private final Set<Conn> conns = new HashSet<>();
   private final Map<World.Link, ArrayDeque<Runnable>> held = new HashMap<>();
@@ -65,7 +59,8 @@
   private int most;
   private long probes;
 
-  Hosts(World world, Truth truth) throws IOException {
+  /** Engines that listen, and change logs where they are wanted here. */
+  Hosts(World world, Truth truth, boolean withLists) throws IOException {
     this.world = world;
     this.truth = truth;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -75,21 +70,23 @@
     for (EngineModel e : world.engines.values()) {
       bind(e);
     }
-    for (World.View v : world.views) {
-      NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
-      prepare(acceptor, new DecodingHandler<>("gateway", HelloDecoder::new, new Followed(v)));
-      acceptor.bind(listAddress(v.zone));
-      lists.add(acceptor);
+    if (withLists) {
+      for (World.View v : world.views) {
+        ListServer server = new ListServer(world.time, world.plan, port, () -> v.log);
+        v.hear(e -> server.tell());
+        server.bind(listAddress(v.zone));
+        lists.add(server);
+      }
+      world.onReach(v -> attempt(() -> reach(v)));
     }
     world.onAdded(e -> attempt(() -> bind(e)));
     world.onEnd(this::end);
     world.onReset((g, e) -> List.copyOf(conns).stream()
         .filter(c -> c.zone == g
             && world.plan.zoneOfEngine(c.engine.id) == e).forEach(c -> c.session.closeNow()));
-    world.onReach(v -> attempt(() -> reach(v)));
   }
 
-  private static void prepare(NioSocketAcceptor acceptor, DecodingHandler<?> handler) {
+  static void prepare(NioSocketAcceptor acceptor, DecodingHandler<?> handler) {
     acceptor.setReuseAddress(true);
     acceptor.setBacklog(BACKLOG);
     acceptor.getSessionConfig().setTcpNoDelay(true);
@@ -111,22 +108,18 @@
   }
 
   /** Where gateways of that zone find that engine. */
-  InetSocketAddress address(int engine, int zone) {
-    return at(zone, engine / HOSTS, engine % HOSTS + 1);
+  public InetSocketAddress address(int engine, int zone) {
+    return ListServer.engine(engine, zone, port);
   }
 
   /** Where gateways of that zone find their change log. */
   InetSocketAddress listAddress(int zone) {
-    return at(zone, LIST_HOST, 1);
+    return ListServer.machine(0, zone, port);
   }
 
-  private InetSocketAddress at(int zone, int third, int fourth) {
-    try {
-      byte[] address = {127, (byte) (FIRST_OCTET + zone), (byte) third, (byte) fourth};
-      return new InetSocketAddress(InetAddress.getByAddress(address), port);
-    } catch (UnknownHostException e) {
-      throw new IllegalStateException(e);
-    }
+  /** The port of all engines. */
+  public int port() {
+    return port;
   }
 
   int mostConnections() {
@@ -166,12 +159,10 @@
   }
 
   private void reach(World.View v) throws IOException {
-    NioSocketAcceptor acceptor = lists.get(v.zone);
     if (v.isDown()) {
-      acceptor.unbind();
-      acceptor.getManagedSessions().values().forEach(IoSession::closeNow);
+      lists.get(v.zone).unbind();
     } else {
-      acceptor.bind(listAddress(v.zone));
+      lists.get(v.zone).bind(listAddress(v.zone));
     }
   }
 
@@ -215,7 +206,7 @@
       synchronized (byAddress) {
         e = byAddress.get(address);
       }
-      Conn c = new Conn(session, e, (address.getAddress().getAddress()[1] & 0xff) - FIRST_OCTET);
+      Conn c = new Conn(session, e, ListServer.zone(address));
       session.setAttribute(OF, c);
       world.time.at(0, () -> {
         long there = conns.stream().filter(o -> o.engine == c.engine).count();
@@ -328,93 +319,9 @@
     over(link(c), link(c).cutIn, () -> c.session.write(IoBuffer.wrap(bytes)));
   }
 
-  // ---- The change log ----
-
-  /** The number that a gateway begins with. */
-  private static final class HelloDecoder implements Decoder<Long> {
-    private long number;
-    private int have;
-
-    @Override
-    public boolean partial() {
-      return have > 0 && have < Long.BYTES;
-    }
-
-    @Override
-    public String feed(byte[] bytes, int from, int to, java.util.function.Consumer<? super Long> messages) {
-      for (int at = from; at < to; at++) {
-        if (have == Long.BYTES) {
-          return "more than a number";
-        }
-        number = number << Byte.SIZE | bytes[at] & 0xff;
-        if (++have == Long.BYTES) {
-          messages.accept(number);
-        }
-      }
-      return null;
-    }
-  }
-
-  private final class Followed implements Listener<Long> {
-    private final World.View view;
-    private final Map<IoSession, Integer> next = new HashMap<>();
-
-    Followed(World.View view) {
-      this.view = view;
-      view.hear(e -> next.keySet().forEach(this::bring));
-      beat();
-    }
-
-    private void beat() {
-      next.keySet().forEach(s -> s.write(IoBuffer.wrap(frame(view.log.size(), null))));
-      world.time.at(world.time.now() + Plan.SECOND, this::beat);
-    }
-
-    private void bring(IoSession s) {
-      int from = next.get(s);
-      for (World.Event e : view.log.subList(from, view.log.size())) {
-        s.write(IoBuffer.wrap(frame(e.number(), e.engine())));
-      }
-      next.put(s, view.log.size());
-    }
-
-    private byte[] frame(long number, World.Listed e) {
-      int size = Long.BYTES + 1 + (e == null ? 0 : 27);
-      ByteBuffer out = ByteBuffer.allocate(Integer.BYTES + size).putInt(size).putLong(number)
-          .put((byte) (e == null ? 0 : 2));
-      if (e != null) {
-        InetSocketAddress a = address(e.id(), view.zone);
-        out.putInt(e.id()).put(a.getAddress().getAddress()).putShort((short) a.getPort())
-            .put((byte) e.state()).put((byte) world.plan.zoneOfEngine(e.id()))
-            .put((byte) (world.plan.isLarge(e.id()) ? 1 : 0)).putShort((short) 0).putInt(1_000)
-            .putLong(e.startedMs());
-      }
-      return out.array();
-    }
-
-    @Override
-    public void opened(IoSession session) {
-      // it speaks first
-    }
-
-    @Override
-    public void received(IoSession session, Long last, int bytes) {
-      world.time.at(0, () -> {
-        next.put(session, (int) Math.min(last, view.log.size()));
-        bring(session);
-        session.write(IoBuffer.wrap(frame(view.log.size(), null)));
-      });
-    }
-
-    @Override
-    public void closed(IoSession session) {
-      world.time.at(0, () -> next.remove(session));
-    }
-  }
-
   @Override
   public void close() {
     engines.dispose();
-    lists.forEach(NioSocketAcceptor::dispose);
+    lists.forEach(ListServer::close);
   }
 }
--- a/lab/src/main/java/reachloom/lab/rig/Plan.java
+++ b/lab/src/main/java/reachloom/lab/rig/Plan.java
@@ -54,7 +54,7 @@
   }
 
   /** All cores of the first engines. */
-  int allCores() {
+  public int allCores() {
     int all = 0;
     for (int e = 1; e <= engines; e++) {
       all += cores(e);
--- a/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,12 +23,17 @@
   private static final long MEMORY_GAP = 2 * Plan.SECOND;
   private static final long LATEST = Plan.SECOND;
   private static final int PATIENCE_S = 60;
+  /** Where gateways that no client asks are said to listen. */
+  private static final InetSocketAddress NOWHERE =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
   private final Plan plan;
   private final RealTime time = new RealTime("world");
   private final World world;
   private final SplittableRandom random;
   private final Processes processes;
+  /** Null where the gateways are alone. */
+  private final Company company;
   private final boolean[] up;
   private final long[] changedAt;
   private final long[] lives;
@@ -46,32 +53,62 @@
   /** The same, each gateway with further words on its command line. */
   public ProcessFleet(Plan plan, Path folder, Path jar, int heapMb, IntFunction<List<String>> words)
       throws IOException {
+    this(plan, folder, jar, heapMb, words, null);
+  }
+
+  /** The same in company; the plan's gateways are those that are processes and that clients ask. */
+  public ProcessFleet(Plan plan, Path folder, Path jar, int heapMb, IntFunction<List<String>> words,
+      Company company) throws IOException {
     this.plan = plan;
+    this.company = company;
     world = new World(plan, time);
     random = new SplittableRandom(plan.seed() * 13 + 11);
     up = new boolean[plan.gateways()];
     changedAt = new long[plan.gateways()];
-    lives = new long[plan.gateways()];
+    lives = new long[all()];
     processes = new Processes(folder, jar, plan.gateways(), heapMb, this::configuration, words);
   }
 
-  /** What a gateway is told at its start: the list as its view has it now. */
-  private String configuration(int gateway) {
-    AtomicReference<String> text = new AtomicReference<>();
+  private int all() {
+    return plan.gateways() + (company == null ? 0 : company.gateways());
+  }
+
+  /** What a gateway is told at its start or by a change of configuration: the list as its view has it now. */
+  public String configuration(int gateway) {
+    AtomicReference<List<World.Event>> log = new AtomicReference<>();
+    World.View view = world.views.get(plan.zoneOf(gateway));
     onWorld(() -> {
-      World.View view = world.views.get(plan.zoneOf(gateway));
-      Map<Integer, World.Listed> known = new java.util.LinkedHashMap<>();
-      view.log.forEach(e -> known.put(e.engine().id(), e.engine()));
-      List<ObjectNode> engines = new ArrayList<>();
-      known.values().forEach(e -> engines.add(Conditions.host(plan, e, hosts.address(e.id(), view.zone))));
-      text.set(Conditions.configuration(plan, gateway,
-          plan.seed() * 1_000_003 + gateway + ++lives[gateway] * 7_919,
-          processes.addresses().get(gateway), hosts.listAddress(view.zone), view.log.size(), engines));
+      log.set(List.copyOf(view.log));
+      lives[gateway]++;
     });
-    return text.get();
+    Map<Integer, World.Listed> known = new java.util.LinkedHashMap<>();
+    log.get().forEach(e -> known.put(e.engine().id(), e.engine()));
+    List<ObjectNode> engines = new ArrayList<>();
+    known.values().forEach(e -> engines.add(Conditions.host(plan, e, hosts.address(e.id(), view.zone))));
+    return Conditions.configuration(plan, gateway,
+        plan.seed() * 1_000_003 + gateway + lives[gateway] * 7_919,
+        gateway < plan.gateways() ? processes.addresses().get(gateway) : NOWHERE,
+        company == null ? hosts.listAddress(view.zone) : company.changeLog(gateway), log.get().size(),
+        engines);
+  }
+
+  /** Tells all gateways that are processes to read their configuration again. */
+  public void hangUp() {
+    processes.hangUp();
+  }
+
+  /** The processes that run now. */
+  public List<Long> pids() {
+    return processes.pids();
+  }
+
+  /** The time of the world; what touches it runs there. */
+  public RealTime time() {
+    return time;
   }
 
-  private void onWorld(Runnable work) {
+  /** Runs something on the world's thread, and waits for it. */
+  public void onWorld(Runnable work) {
     CountDownLatch done = new CountDownLatch(1);
     time.at(0, () -> {
       try {
@@ -101,7 +138,7 @@
     onWorld(() -> {
       truth = new Truth(world, time.now());
       try {
-        hosts = new Hosts(world, truth);
+        hosts = new Hosts(world, truth, company == null);
       } catch (IOException e) {
         failed.set(e);
       }
@@ -110,10 +147,13 @@
       throw failed.get();
     }
     long from = time.now();
+    if (company != null) {
+      company.open(world, hosts);
+    }
     processes.archive();
-    int ready = processes.startAll();
+    int ready = processes.startAll() + (company == null ? 0 : company.join());
     long started = time.now() - from;
-    System.err.printf("%d of %d gateways are ready after %.1f s%n", ready, plan.gateways(), started / 1e9);
+    System.err.printf("%d of %d gateways are ready after %.1f s%n", ready, all(), started / 1e9);
     long start = time.now() + SETTLE;
     long end = start + plan.seconds() * Plan.SECOND;
     onWorld(() -> {
@@ -121,7 +161,11 @@
       truth.begin(start);
       workload = new Workload(plan, start);
       clients = new Clients(world, truth, processes.addresses(), processes::killed);
-      new Director(world, this, workload, truth).play(script, start, () -> time.now() < end);
+      new Director(world, all(), this, workload, truth, this::ofInstallation).play(script, start,
+          () -> time.now() < end);
+      if (company != null) {
+        company.begin(truth, start, end);
+      }
       time.at(start, () -> truth.watch(end));
       look(end);
       next(end);
@@ -199,28 +243,63 @@
     }
   }
 
+  private void ends(int gateway) {
+    up[gateway] = false;
+    if (company != null) {
+      company.runs(gateway, false);
+    }
+  }
+
+  private void ofInstallation(Trouble t) {
+    if (company == null) {
+      throw new IllegalStateException("nobody here can bring about " + t);
+    }
+    company.trouble(t);
+  }
+
   @Override
   public void kill(int gateway) {
-    up[gateway] = false;
+    if (gateway >= plan.gateways()) {
+      company.kill(gateway);
+      return;
+    }
+    ends(gateway);
     changedAt[gateway] = time.now();
     processes.kill(gateway);
   }
 
   @Override
   public void terminate(int gateway) {
-    up[gateway] = false;
+    if (gateway >= plan.gateways()) {
+      company.terminate(gateway);
+      return;
+    }
+    ends(gateway);
     changedAt[gateway] = time.now() - FRONT_NOTICE - LATEST; // its front takes it out first
     processes.terminate(gateway);
   }
 
   @Override
   public void halt(int gateway, boolean now) {
-    processes.halt(gateway, now);
+    if (gateway >= plan.gateways()) {
+      company.halt(gateway, now);
+    } else {
+      processes.halt(gateway, now);
+    }
   }
 
   @Override
   public void start(int gateway) {
-    processes.restart(gateway, () -> time.at(0, () -> up[gateway] = true));
+    if (gateway >= plan.gateways()) {
+      company.start(gateway);
+      return;
+    }
+    processes.restart(gateway, () -> time.at(0, () -> {
+      up[gateway] = true;
+      if (company != null) {
+        company.runs(gateway, true);
+      }
+    }));
   }
 
   @Override
--- a/lab/src/main/java/reachloom/lab/rig/Processes.java
+++ b/lab/src/main/java/reachloom/lab/rig/Processes.java
@@ -186,17 +186,35 @@
     running.get(gateway).destroy();
   }
 
+  /** Those that run now. */
+  synchronized List<Long> pids() {
+    return running.stream().filter(p -> p != null && p.isAlive()).map(Process::pid).toList();
+  }
+
+  /** Tells all that run to read their configuration again. */
+  synchronized void hangUp() {
+    List<String> words = new ArrayList<>(List.of("kill", "-HUP"));
+    running.stream().filter(p -> p != null && p.isAlive()).forEach(p -> words.add(Long.toString(p.pid())));
+    if (words.size() > 2) {
+      signal(words, "the gateways");
+    }
+  }
+
   /** Stops it where it stands, or lets it go on. */
   void halt(int gateway, boolean now) {
     Process p = running.get(gateway);
     if (p != null && p.isAlive()) {
-      try {
-        new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(p.pid())).start().waitFor();
-      } catch (IOException e) {
-        System.err.println("gateway " + gateway + " could not be signalled: " + e.getMessage());
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
+      signal(List.of("kill", now ? "-STOP" : "-CONT", Long.toString(p.pid())), "gateway " + gateway);
+    }
+  }
+
+  private static void signal(List<String> words, String whom) {
+    try {
+      new ProcessBuilder(words).start().waitFor();
+    } catch (IOException e) {
+      System.err.println(whom + " could not be signalled: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
--- a/lab/src/main/java/reachloom/lab/rig/Script.java
+++ b/lab/src/main/java/reachloom/lab/rig/Script.java
@@ -21,9 +21,9 @@
 /** A script of troubles, in XML that {@code script.xsd} describes. */
 public record Script(String name, List<Trouble> troubles) {
   /** Scripts that the program brings along. */
-  public static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick", "idle-report",
-      "restart",
-      "stall", "list", "cut", "surge", "crowd");
+  public static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick",
+      "idle-report", "restart", "stall", "list", "cut", "surge", "crowd", "steady", "regions-apart",
+      "control-lost", "ordinary-day", "primary");
   static final Script NONE = new Script("none", List.of());
 
   /** A script that can't be used: the text names the line, and what is wrong there. */
@@ -55,7 +55,8 @@
     }
   }
 
-  static Script read(InputStream in, String name) throws IOException, Unusable {
+  /** Reads a script; the name stands for it in complaints. */
+  public static Script read(InputStream in, String name) throws IOException, Unusable {
     try (InputStream schema = Script.class.getResourceAsStream("script.xsd")) {
       DocumentBuilderFactory factory = DocumentBuilderFactory.newInstance();
       factory.setNamespaceAware(true);
@@ -94,6 +95,11 @@
     return e.hasAttribute(key) ? Double.parseDouble(e.getAttribute(key)) : standard;
   }
 
+  /** Whether only a whole installation can play it. */
+  public boolean ofInstallation() {
+    return troubles.stream().anyMatch(Trouble::ofInstallation);
+  }
+
   /** The last moment at which something happens, in seconds. */
   double end() {
     return troubles.stream().mapToDouble(t -> t.at() + t.lasts() + t.within()).max().orElse(0);
--- a/lab/src/main/java/reachloom/lab/rig/Trouble.java
+++ b/lab/src/main/java/reachloom/lab/rig/Trouble.java
@@ -3,20 +3,21 @@
 /**
  * One line of a script: at that time, in seconds, it begins for a share of those it may meet, in one zone or,
  * for -1, in all. What {@code by} says depends on the kind: times slower, share of errors, times the load,
- * milliseconds of delay, connections that an engine holds at most. Times are in seconds.
+ * milliseconds of delay, connections that an engine holds at most, control machines lost, changes of
+ * configuration issued one after another. Times are in seconds.
  */
 public record Trouble(double at, Who who, Kind kind, double share, int zone, int far, double by, double lasts,
     double within) {
   /** Whom it meets. */
-  public enum Who { GATEWAYS, ENGINES, LINK, LIST, LOAD }
+  public enum Who { GATEWAYS, ENGINES, LINK, LIST, LOAD, REGIONS, CONTROL, CONFIGURATION }
 
   /** What it does. */
   public enum Kind {
     KILL(Who.GATEWAYS), TERMINATE(Who.GATEWAYS), HALT(Who.GATEWAYS), HANG(Who.ENGINES), ERR(Who.ENGINES),
     SLOW(Who.ENGINES), CRASH(Who.ENGINES), REPLACE(Who.ENGINES), CROWD(Who.ENGINES),
-    DELAY(Who.LINK), RESET(Who.LINK),
-        CUT(Who.LINK),
-    CUT_OUT(Who.LINK), CUT_IN(Who.LINK), LATE(Who.LIST), STALE(Who.LIST), DOWN(Who.LIST), SURGE(Who.LOAD);
+    DELAY(Who.LINK), RESET(Who.LINK), CUT(Who.LINK), CUT_OUT(Who.LINK), CUT_IN(Who.LINK), LATE(Who.LIST),
+    STALE(Who.LIST), DOWN(Who.LIST), SURGE(Who.LOAD), PART(Who.REGIONS), LOSE(Who.CONTROL),
+    ISSUE(Who.CONFIGURATION);
 
     final Who who;
 
@@ -29,15 +30,22 @@
     return (long) (seconds * Plan.SECOND);
   }
 
+  /** Whether only a whole installation can play it: regions, control machines, a source of configuration. */
+  public boolean ofInstallation() {
+    return who == Who.REGIONS || who == Who.CONTROL || who == Who.CONFIGURATION;
+  }
+
   long start() {
     return nanos(at);
   }
 
-  long length() {
+  /** How long it lasts, in nanoseconds. */
+  public long length() {
     return nanos(lasts);
   }
 
-  long spread() {
+  /** Within what time it has met all, in nanoseconds. */
+  public long spread() {
     return nanos(within);
   }
 }
--- a/lab/src/main/java/reachloom/lab/rig/Truth.java
+++ b/lab/src/main/java/reachloom/lab/rig/Truth.java
@@ -97,6 +97,8 @@
   private final Map<Place, Long> cutNow = new HashMap<>();
   private final Map<Place, Long> drainTold = new HashMap<>();
   private final Map<Place, Long> startTold = new HashMap<>();
+  /** What some gateways of a zone have not heard: it binds none there until all can have. */
+  private final Map<Integer, List<World.Event>> unheard = new HashMap<>();
   private final Map<Integer, ArrayDeque<Try>> lately = new HashMap<>();
   private final Map<Integer, List<Query>> byGateway = new TreeMap<>();
   private final Map<String, Integer> broken = new TreeMap<>();
@@ -190,7 +192,7 @@
   }
 
   /** The way between two zones is bad from now on, or is well. */
-  void impaired(int from, int to, boolean now) {
+  public void impaired(int from, int to, boolean now) {
     span(cuts, cutNow, new Place(from, to), now);
   }
 
@@ -235,7 +237,20 @@
     }
   }
 
+  /** What gateways of a zone are told does not reach all of them from now on, or does again by now. */
+  public void cutOff(int zone, boolean now) {
+    if (now) {
+      unheard.putIfAbsent(zone, new ArrayList<>());
+    } else if (unheard.containsKey(zone)) {
+      unheard.remove(zone).forEach(e -> told(world.views.get(zone), e));
+    }
+  }
+
   private void told(World.View view, World.Event event) {
+    if (unheard.containsKey(view.zone)) {
+      unheard.get(view.zone).add(event);
+      return;
+    }
     World.Listed e = event.engine();
     if (e.state() == World.READY) {
       drainTold.remove(new Place(view.zone, e.id()));
--- a/lab/src/main/java/reachloom/lab/rig/Workload.java
+++ b/lab/src/main/java/reachloom/lab/rig/Workload.java
@@ -61,7 +61,7 @@
     weigh();
   }
 
-  static double meanWork() {
+  public static double meanWork() {
     return KINDS.stream().mapToDouble(k -> k.share * k.work).sum();
   }
 
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/scale/HollowPart.java
@@ -0,0 +1,132 @@
+package reachloom.lab.scale;
+
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import reachloom.config.Member;
+import reachloom.gossip.net.GossipNode;
+
+/**
+ * Many hollow gateways in one process, a part of the scale run. It is told {@code start N RATE CONFIG
+ * SETTINGS}, {@code kill N}, {@code terminate N} and {@code reload N ISSUE}. It tells
+ * {@code ready N MS EVENT}, {@code applied N ISSUE MS}, {@code list ENGINE STATE STARTED COUNT MS} for what
+ * so many have been told by that time, and each second {@code usage MS LAG N:CPU:SENT:BYTES:RECEIVED:BYTES}.
+ */
+final class HollowPart implements Part.Role, HollowGateway.Watcher {
+  private static final long LIST_MS = 100;
+  private static final long USAGE_MS = 1_000;
+
+  private static final class Held {
+    private int count;
+    private long latest;
+    private boolean told = true;
+  }
+
+  private final Map<Integer, HollowGateway> gateways = new ConcurrentHashMap<>();
+  private final Map<String, Held> held = new LinkedHashMap<>();
+  private long due;
+  private long lag;
+
+  @Override
+  public Options options() {
+    return new Options();
+  }
+
+  @Override
+  public void run(CommandLine line) throws Exception {
+    ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
+      Thread t = new Thread(r, "looks");
+      t.setDaemon(true);
+      return t;
+    });
+    due = System.currentTimeMillis() + LIST_MS;
+    looks.scheduleAtFixedRate(this::lists, LIST_MS, LIST_MS, TimeUnit.MILLISECONDS);
+    looks.scheduleAtFixedRate(this::usage, USAGE_MS, USAGE_MS, TimeUnit.MILLISECONDS);
+    Child.follow(this::told);
+  }
+
+  private void told(String line) {
+    String[] words = line.split(" ");
+    int number = Integer.parseInt(words[1]);
+    HollowGateway g = gateways.get(number);
+    switch (words[0]) {
+      case "start" -> {
+        if (g == null) { // else it runs
+          HollowGateway fresh = new HollowGateway(number, Path.of(words[3]),
+              words.length > 4 ? words[4] : null, Double.parseDouble(words[2]), this);
+          gateways.put(number, fresh);
+          fresh.start();
+        }
+      }
+      case "reload" -> {
+        if (g != null) {
+          g.reload(words[2]);
+        }
+      }
+      default -> {
+        if (g != null) {
+          gateways.remove(number);
+          g.end(words[0].equals("terminate"));
+          synchronized (held) {
+            g.held().forEach(k -> {
+              held.get(k).count--;
+              held.get(k).told = false;
+            });
+          }
+        }
+      }
+    }
+  }
+
+  @Override
+  public void ready(int gateway, long lastEvent) {
+    Child.say("ready " + gateway + " " + System.currentTimeMillis() + " " + lastEvent);
+  }
+
+  @Override
+  public void applied(int gateway, String issue) {
+    Child.say("applied " + gateway + " " + issue + " " + System.currentTimeMillis());
+  }
+
+  @Override
+  public void holds(int gateway, Member member) {
+    synchronized (held) {
+      Held h = held.computeIfAbsent(HollowGateway.key(member), k -> new Held());
+      h.count++;
+      h.latest = System.currentTimeMillis();
+      h.told = false;
+    }
+  }
+
+  private void lists() {
+    long now = System.currentTimeMillis();
+    lag = Math.max(lag, now - due);
+    due = Math.max(due + LIST_MS, now);
+    synchronized (held) {
+      held.forEach((key, h) -> {
+        if (!h.told) {
+          h.told = true;
+          Child.say("list " + key + " " + h.count + " " + h.latest);
+        }
+      });
+    }
+  }
+
+  private void usage() {
+    StringBuilder line = new StringBuilder("usage " + System.currentTimeMillis() + " " + lag);
+    lag = 0;
+    gateways.forEach((number, g) -> {
+      GossipNode.Traffic t = g.traffic();
+      line.append(' ').append(number).append(':').append(g.processor()).append(':').append(t.sent())
+          .append(':').append(t.sentBytes()).append(':').append(t.received()).append(':')
+          .append(t.receivedBytes());
+    });
+    Child.say(line.toString());
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/reachloom/lab/scale/ScaleCommand.java
@@ -0,0 +1,122 @@
+package reachloom.lab.scale;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import reachloom.lab.command.Arguments;
+import reachloom.lab.command.Command;
+import reachloom.lab.command.Figures;
+import reachloom.lab.rig.Plan;
+import reachloom.lab.rig.Script;
+import reachloom.lab.rig.Trouble;
+
+/** Plays the installation at the size that is planned for, or smaller. */
+public final class ScaleCommand implements Command {
+  /** The exit status of a run that the machine could not bear. */
+  static final int VOID = 3;
+  private static final int PLANNED_RATE = 724;
+  /** Statements a second in all that are taken for bearable beside the rest, where nothing is said. */
+  private static final int BEARABLE = 600;
+
+  @Override
+  public String purpose() {
+    return "the whole installation: real and hollow gateways, control machines, a source of configuration";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(null, "gateways", true, "gateways in all (20)")
+        .addOption(null, "real", true, "of these, processes of the program, which clients ask (4)")
+        .addOption(null, "engines", true, "engines at the start (24)")
+        .addOption(null, "regions", true, "regions (3)")
+        .addOption(null, "zones", true, "zones, which lie in the regions in turn (10)")
+        .addOption(null, "control", true, "control machines (5)")
+        .addOption(null, "seconds", true, "how long it lasts (30)")
+        .addOption(null, "settle", true, "seconds between the last start and the first query (5)")
+        .addOption(null, "rate", true, "statements a second at each real gateway (724, as far as "
+            + BEARABLE + " a second in all hold that)")
+        .addOption(null, "a-process", true, "hollow gateways in a process (100)")
+        .addOption(null, "no-gossip", false, "gossip stays off")
+        .addOption(null, "period-ms", true, "gossip's time between two probes (1000)")
+        .addOption(null, "cap", true, "gossip's bytes a second of each gateway (4096)")
+        .addOption(null, "script", true, "a file, or one of " + Script.NAMED + " (steady)")
+        .addOption(null, "mode", true, "sockets (the default) or virtual: the control part in simulated time")
+        .addOption(null, "jar", true, "the program (the one built beside the laboratory)")
+        .addOption(null, "heap-mb", true, "heap of each real gateway (24)")
+        .addOption(null, "seed", true, "for all that is drawn (1)")
+        .addOption(null, "json", true, "file for the figures")
+        .addOption(null, "logs", true, "folder for all logs");
+  }
+
+  @Override
+  public int run(CommandLine line) throws Exception {
+    int gateways = Arguments.number(line, "gateways", 20, 1, 1_000);
+    int real = Arguments.number(line, "real", Math.min(4, gateways), 1, Math.min(100, gateways));
+    int planned = Math.min(PLANNED_RATE, Math.max(1, BEARABLE / real));
+    ScaleRun.Size size = new ScaleRun.Size(gateways, real, Arguments.number(line, "engines", 24, 1, 1_000),
+        Arguments.number(line, "regions", 3, 1, 10), Arguments.number(line, "zones", 10, 1, 16),
+        Arguments.number(line, "control", 5, 1, 20), Arguments.number(line, "seconds", 30, 4, 3_600),
+        Arguments.number(line, "rate", planned, 1, 5_000), Arguments.number(line, "settle", 5, 0, 600),
+        Arguments.number(line, "a-process", 100, 1, 500), Arguments.number(line, "heap-mb", 24, 8, 512),
+        !line.hasOption("no-gossip"),
+        Arguments.number(line, "period-ms", 1_000, 100, 60_000) * Plan.MILLISECOND,
+        Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE));
+    Script script;
+    try {
+      script = Script.of(line.getOptionValue("script", "steady"));
+    } catch (Script.Unusable e) {
+      throw new ParseException("--script: " + e.getMessage());
+    }
+    if (script.troubles().stream().anyMatch(t -> t.who() == Trouble.Who.LIST)) {
+      throw new ParseException("--script: " + script.name() + " speaks of list, which fleet has; control "
+          + "machines are what scale has");
+    }
+    Map<String, Object> origin = new LinkedHashMap<>();
+    origin.put("script", script.name());
+    origin.put("size", size);
+    origin.put("rate_planned", PLANNED_RATE);
+    String mode = line.getOptionValue("mode", "sockets");
+    origin.put("mode", mode);
+    return switch (mode) {
+      case "sockets" -> sockets(line, size, script, origin);
+      case "virtual" -> throw new ParseException("--mode: virtual is not built in");
+      default -> throw new ParseException("--mode: '" + mode + "' is neither virtual nor sockets");
+    };
+  }
+
+  private static int sockets(CommandLine line, ScaleRun.Size size, Script script,
+      Map<String, Object> origin) throws Exception {
+    if (size.rate() < PLANNED_RATE) {
+      System.err.printf("clients ask each real gateway %.0f times a second; %d are planned%n", size.rate(),
+          PLANNED_RATE);
+    }
+    boolean kept = line.hasOption("logs");
+    Path folder = kept ? Files.createDirectories(Path.of(line.getOptionValue("logs"))).toAbsolutePath()
+        : Files.createTempDirectory("reachloom-scale");
+    Map<String, Object> figures;
+    try (ScaleRun run = new ScaleRun(size, folder, Arguments.jar(line))) {
+      figures = run.play(script);
+    } finally {
+      if (!kept) {
+        try (var files = Files.walk(folder)) {
+          files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+      }
+    }
+    Figures.tell(line, origin, figures);
+    List<?> why = (List<?>) figures.get("void");
+    if (!why.isEmpty()) {
+      System.err.println("void: " + why);
+      return VOID;
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/scale/InForceTest.java
@@ -0,0 +1,62 @@
+package reachloom.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What counts as in force, and since when. */
+class InForceTest {
+  private final InForce inForce = new InForce();
+
+  private Map<String, Object> figures() {
+    Map<String, Object> f = new LinkedHashMap<>();
+    inForce.figures(f);
+    return f;
+  }
+
+  @Test
+  void noChangeHasNoTime() {
+    assertEquals(0, figures().get("changes"));
+    assertNull(figures().get("config_in_force_s_max"));
+  }
+
+  @Test
+  void aChangeIsInForceOnceTheLastHasIt() {
+    inForce.issued(1, 1_000, List.of(1, 2));
+    inForce.applied(1, 1, 1_500);
+    assertTrue(inForce.open());
+    assertEquals(List.of(2), inForce.lacking());
+    assertEquals(1L, figures().get("config_never"));
+    assertNull(figures().get("config_in_force_s_max"), "what is not in force has no time");
+    inForce.applied(2, 1, 4_000);
+    assertFalse(inForce.open());
+    assertEquals(3.0, figures().get("config_in_force_s_max"));
+    assertEquals(0L, figures().get("config_never"));
+  }
+
+  @Test
+  void aLaterChangeBringsThoseBeforeAndCountedReadingsBringOneEach() {
+    inForce.issued(1, 0, List.of(1, 2));
+    inForce.issued(2, 1_000, List.of(1, 2));
+    inForce.applied(1, 2, 1_200);
+    inForce.appliedNext(2, 500);
+    assertEquals(List.of(2), inForce.lacking());
+    assertEquals(1.2, figures().get("config_in_force_s_max"));
+    inForce.appliedNext(2, 3_000);
+    assertEquals(2.0, figures().get("config_in_force_s_max"));
+  }
+
+  @Test
+  void oneThatEndsOrStartsAnewIsOwedNothingOlder() {
+    inForce.issued(1, 0, List.of(1, 2));
+    inForce.applied(2, 1, 300);
+    inForce.started(1, 0);
+    assertEquals(0.3, figures().get("config_in_force_s_max"));
+  }
+}
