--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -6,9 +6,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,6 +49,7 @@
   });
   private final HalfClosing processor = new HalfClosing(threads);
   private final BoundedAcceptor acceptor;
+  private final List<NioSocketConnector> connectors = new CopyOnWriteArrayList<>();
 
   /**
    * The library's, which can also shut the output of a connection alone. It reads all that is there before
@@ -152,12 +155,21 @@
     acceptor.unbind();
   }
 
+  /** Ends all connections and threads at once; nothing can be made of this any more. */
+  public void abandon() {
+    acceptor.dispose();
+    connectors.forEach(NioSocketConnector::dispose);
+    processor.dispose();
+    threads.shutdown();
+  }
+
   /**
    * A connector whose connections that handler serves, for dials that are given up after that time at the
    * latest. The library ends one that is not up some time later: whoever waits gives it up first.
    */
   public NioSocketConnector connector(IoHandler handler, long dialTimeout) {
     NioSocketConnector connector = new NioSocketConnector(threads, processor);
+    connectors.add(connector);
     connector.setHandler(handler);
     connector.setConnectTimeoutCheckInterval(CONNECT_CHECK_MS);
     connector.setConnectTimeoutMillis(LATER * Math.max(CONNECT_CHECK_MS, dialTimeout / MILLISECOND));
--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -12,6 +12,7 @@
 import reachloom.lab.command.Command;
 import reachloom.lab.fleet.FleetCommand;
 import reachloom.lab.gossip.GossipCommand;
+import reachloom.lab.scale.ScaleCommand;
 import reachloom.lab.slopes.SlopesCommand;
 
 /** Entry point of the laboratory: picks a command by its name. */
@@ -25,6 +26,7 @@
     COMMANDS.put("gossip", new GossipCommand());
     COMMANDS.put("fleet", new FleetCommand());
     COMMANDS.put("slopes", new SlopesCommand());
+    COMMANDS.put("scale", new ScaleCommand());
   }
 
   private Lab() {
