--- a/decisions/src/main/java/reachloom/revision/Counting.java
+++ b/decisions/src/main/java/reachloom/revision/Counting.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
 
@@ -25,8 +24,14 @@
 
   /** The names that count for a place, of those present there: rendezvous hashing, the same for each. */
   static List<String> counters(int place, Collection<String> names) {
-    return names.stream().sorted(Comparator.comparingLong((String n) -> weight(place, n))
-        .thenComparing(Comparator.naturalOrder())).limit(COUNTERS).toList();
+    TreeMap<Long, String> lightest = new TreeMap<>();
+    for (String n : names) {
+      lightest.put(weight(place, n), n);
+      if (lightest.size() > COUNTERS) {
+        lightest.pollLastEntry();
+      }
+    }
+    return List.copyOf(lightest.values());
   }
 
   /** Whether that one may be a counter there, as members don't all see the same others. */
--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -164,10 +164,11 @@
     if (!issuer) {
       names.add(name);
     }
-    if (names.equals(new TreeSet<>(members))) {
+    List<String> there = List.copyOf(names);
+    if (there.equals(members)) {
       return;
     }
-    members = List.copyOf(names);
+    members = there;
     counting.keep(names);
     List<String> before = counters;
     counters = Counting.counters(place, members);
@@ -251,8 +252,12 @@
   }
 
   private void owe(long now, Peer peer) {
+    owe(now, peer, RETELL);
+  }
+
+  private void owe(long now, Peer peer, long pause) {
     Other o = neighbours.get(peer.name());
-    boolean justTold = o != null && o.told == log.newestNumber() && now - o.toldAt < RETELL;
+    boolean justTold = o != null && o.told == log.newestNumber() && now - o.toldAt < pause;
     // Who tells of one has its document: the other will ask for that next.
     if (log.newest() != null && log.newest().document() != null && owed.size() < MOST_OWED && !justTold) {
       owed.put(peer.name(), peer);
@@ -262,7 +267,7 @@
   private void notice(long now, Peer sender, Word.Notice n) {
     Revision r = n.revision();
     if (!sane(r, n.votes())) {
-      neighbours.strike(now, sender.name(), Strike.LIED);
+      neighbours.strike(now, sender.name(), Strike.LIED, 0);
       return;
     }
     Asked question = asked.remove(sender.name());
@@ -274,7 +279,7 @@
     } else if (!proofs.take(now)) {
       return; // it will be told again
     } else if (!proved(r, n.votes())) {
-      neighbours.strike(now, sender.name(), Strike.LIED);
+      neighbours.strike(now, sender.name(), Strike.LIED, 0);
       return;
     } else if (standing == RevisionLog.Standing.FORK) {
       forked(now, r);
@@ -283,9 +288,9 @@
       source(now, sender);
     }
     if (question != null && question.number > log.newestNumber()) {
-      neighbours.strike(now, sender.name(), Strike.UNPROVED); // it can't prove what it says
+      neighbours.strike(now, sender.name(), Strike.UNPROVED, question.number); // it can't prove what it says
     } else {
-      neighbours.good(sender.name(), question != null);
+      neighbours.good(sender.name(), r.number());
     }
   }
 
@@ -377,7 +382,7 @@
 
   private void want(long now, Peer asker, Word.Want w) {
     if (w.number() == 0) {
-      owe(now, asker);
+      owe(now, asker, WAVE); // what was told before may have been lost
       return;
     }
     RevisionLog.Entry e = log.held(w.number(), w.base() == 0 ? w.baseMark() : 0);
@@ -405,7 +410,7 @@
     if (fetch != null) {
       byte[] document = take(now, fetch, sender, p);
       if (document != null) {
-        neighbours.good(sender.name(), false);
+        neighbours.good(sender.name(), p.number());
         log.document(fetch.revision.number(), document);
         arrived(now, 1);
       }
@@ -430,7 +435,7 @@
     if (document == null) {
       String liar = f.liar();
       if (liar != null) {
-        neighbours.strike(now, liar, Strike.LIED);
+        neighbours.strike(now, liar, Strike.LIED, 0);
         sources.remove(liar);
       }
       f.from = f.then == null ? null : f.from;
@@ -469,7 +474,7 @@
     for (Map.Entry<String, Asked> a : List.copyOf(asked.entrySet())) {
       if (now >= a.getValue().until) {
         asked.remove(a.getKey());
-        neighbours.strike(now, a.getKey(), Strike.UNPROVED);
+        neighbours.strike(now, a.getKey(), Strike.UNPROVED, a.getValue().number);
       }
     }
     if (applying != null && !alarmed && now - applyingSince > APPLIED) {
@@ -641,7 +646,7 @@
     boolean silent = f.from != null
         && (f.late(now) && (f.isEmpty() || f.tries >= TRIES) || now >= f.leaveAt);
     if (silent) {
-      neighbours.strike(now, f.from.name(), Strike.SILENT);
+      neighbours.strike(now, f.from.name(), Strike.SILENT, 0);
       f.from = null;
     }
     if (f.from == null) {
--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -43,6 +43,7 @@
   private static final class Rest {
     private long until;
     private int strikes;
+    private long claimed;
     private boolean lied;
   }
 
@@ -118,8 +119,8 @@
     return drawn;
   }
 
-  /** That one did not do as it said, and is not asked for a time. */
-  void strike(long now, String name, Strike why) {
+  /** That one did not do as it said, and is not asked for a time; {@code claimed} is what it did not prove. */
+  void strike(long now, String name, Strike why, long claimed) {
     Rest r = resting.get(name);
     if (r == null) {
       if (resting.size() >= MOST_RESTING) {
@@ -132,12 +133,13 @@
     r.until = Math.max(r.until, now + (REST << Math.min(r.strikes, MOST_DOUBLINGS)));
     r.strikes += why == Strike.SILENT ? 0 : 1;
     r.lied |= why == Strike.LIED;
+    r.claimed = Math.max(r.claimed, claimed);
   }
 
-  /** That one has sent what it was asked for; where it also proved what it had claimed, more is forgotten. */
-  void good(String name, boolean proved) {
+  /** That one has sent what belongs to that revision; if late, so that it is forgiven, lies are not. */
+  void good(String name, long number) {
     Rest r = resting.get(name);
-    if (r != null && !r.lied && (proved || r.strikes == 0)) {
+    if (r != null && !r.lied && number >= r.claimed) {
       resting.remove(name);
     }
   }
--- a/decisions/src/main/java/reachloom/revision/Sums.java
+++ b/decisions/src/main/java/reachloom/revision/Sums.java
@@ -1,6 +1,7 @@
 package reachloom.revision;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -27,8 +28,9 @@
     }
     TreeMap<String, Told> of = places.computeIfAbsent(census.place(), k -> new TreeMap<>());
     of.values().removeIf(t -> now - t.at > MEMORY);
-    if (of.size() < MOST_TELLERS || of.containsKey(teller)) {
-      of.put(teller, new Told(census, now));
+    of.put(teller, new Told(census, now));
+    if (of.size() > MOST_TELLERS) { // some counted only as long as they saw few others
+      of.remove(Collections.min(of.entrySet(), (a, b) -> Long.compare(a.getValue().at, b.getValue().at)).getKey());
     }
   }
 
--- a/decisions/src/test/java/reachloom/revision/DisseminationTest.java
+++ b/decisions/src/test/java/reachloom/revision/DisseminationTest.java
@@ -270,6 +270,20 @@
     assertEquals(20, net.inForce(1));
   }
 
+  @Test
+  void whoCountedBeforeAllWereKnownStandsInNobodysWay() {
+    Net net = new Net(18, 100, 0.02);
+    net.sees = (one, other) -> one.issuer; // each member alone counts for its place
+    net.run(3);
+    net.issue(0, Net.document(SIZE, 1));
+    net.run(3);
+    net.sees = (one, other) -> true;
+    net.present();
+    net.run(5);
+    assertEquals(100, net.inForce(1));
+    assertEquals(100, net.told(net.nodes.get(0), 1));
+  }
+
   @Test
   void theSeedDecidesEverything() {
     assertEquals(settled(16, 40, 0.1).trace, settled(16, 40, 0.1).trace);
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -11,6 +11,9 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+import java.util.function.ToLongBiFunction;
 import java.util.function.UnaryOperator;
 import reachloom.evidence.Claim;
 import reachloom.gossip.Gossip;
@@ -60,6 +63,7 @@
     public BiConsumer<String, Double> hearsay = (engine, level) -> { };
     public long mostBytes;
     public long bytes;
+    public long received;
     private long seq;
     private int life;
 
@@ -68,7 +72,8 @@
       this.address = address;
     }
 
-    long clock() {
+    /** The time as this instance sees it. */
+    public long clock() {
       return agenda.now() + skew;
     }
 
@@ -124,13 +129,18 @@
   private final Map<Long, Node> byAddress = new LinkedHashMap<>();
   private final SplittableRandom random;
   private final long period;
-  private final int cap;
   private final double loss;
   /** Whether a packet from one instance to another is cut off. */
   public BiPredicate<Node, Node> cut = (from, to) -> false;
   /** The share of packets that come twice, and of those that come late by up to a second. */
   public double copies;
   public double delayed;
+  /** How much longer than within a site a packet takes from one instance to another, in nanoseconds. */
+  public ToLongBiFunction<Node, Node> way = (from, to) -> 0;
+  /** The bytes that an instance may send in a second. */
+  public ToIntFunction<Node> capOf;
+  /** Is told of each instance that starts, before it does anything. */
+  public Consumer<Node> starts = n -> { };
   /** Live instances that somebody declared dead; restarts and real crashes are not among them. */
   public long falseDead;
 
@@ -138,16 +148,21 @@
   public VirtualCluster(long seed, long period, int cap, double loss) {
     random = new SplittableRandom(seed);
     this.period = period;
-    this.cap = cap;
+    capOf = n -> cap;
     this.loss = loss;
   }
 
+  /** Where the instance of that number listens. */
+  public static long address(int number) {
+    return 0x7f000001L << 16 | 10_000 + number;
+  }
+
   /** Adds instances that start now; the first ones of all are the seeds of the others. */
   public List<Node> add(int count, int seeds) {
     List<Node> added = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       int number = nodes.size();
-      Node n = new Node("g" + number, 0x7f000001L << 16 | 10_000 + number);
+      Node n = new Node("g" + number, address(number));
       nodes.add(n);
       byAddress.put(n.address, n);
       added.add(n);
@@ -164,8 +179,10 @@
     n.known.clear();
     n.waiting.clear();
     int life = ++n.life;
-    n.gossip = new Gossip(n.name, n.address, of, n.clock(), period, cap, random.nextLong(), n,
+    n.gossip = new Gossip(n.name, n.address, of, n.clock(), period, capOf.applyAsInt(n),
+        random.nextLong(), n,
         (engine, level) -> n.hearsay.accept(engine, level));
+    starts.accept(n);
     tick(n, life);
   }
 
@@ -191,7 +208,7 @@
     }
     int times = random.nextDouble() < copies ? 2 : 1;
     for (int i = 0; i < times; i++) {
-      long delay = DELAY + random.nextLong(DELAY);
+      long delay = DELAY + random.nextLong(DELAY) + way.applyAsLong(from, to);
       delay += from.slow ? random.nextLong(period / 2) : 0;
       delay += to.slow ? random.nextLong(period / 2) : 0;
       delay += random.nextDouble() < delayed ? random.nextLong(SECOND) : 0;
@@ -209,6 +226,7 @@
       }
       return;
     }
+    to.received += bytes.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
     try {
       byte[] whole = java.util.Arrays.copyOf(bytes, bytes.length + GossipCodec.SIGNATURE);
       var head = GossipCodec.head(whole);
