--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -58,7 +58,12 @@
     /** Hears of engines that others speak against. */
     public BiConsumer<String, Double> hearsay = (engine, level) -> { };
     public long mostBytes;
+    /** All that it sent so far, headers of UDP and IP counted, and in how many datagrams. */
     public long bytes;
+    public long datagrams;
+    /** What came to it; what was lost on the way is not counted. */
+    public long receivedBytes;
+    public long receivedDatagrams;
     private long seq;
     private int life;
 
@@ -105,6 +110,7 @@
       }
       mostBytes = Math.max(mostBytes, latelyBytes);
       bytes += size;
+      datagrams++;
     }
   }
 
@@ -192,6 +198,8 @@
     if (!to.up) {
       return;
     }
+    to.receivedBytes += bytes.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
+    to.receivedDatagrams++;
     if (agenda.now() < to.stalledUntil) {
       if (to.waiting.size() < 64) { // what a socket's buffer holds
         to.waiting.add(() -> arrive(from, to, bytes));
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/slopes/Desk.java
@@ -0,0 +1,190 @@
+package reachloom.lab.slopes;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import reachloom.Choice;
+import reachloom.Decisions.Actions;
+import reachloom.Decisions.AttemptEnd;
+import reachloom.Decisions.Effect;
+import reachloom.Decisions.EngineInfo;
+import reachloom.Decisions.EngineState;
+import reachloom.Decisions.Kind;
+import reachloom.Decisions.Limits;
+import reachloom.Decisions.Note;
+import reachloom.Decisions.NoteKind;
+import reachloom.Decisions.Outcome;
+import reachloom.Decisions.Overbooked;
+import reachloom.Decisions.Query;
+import reachloom.Decisions.QueryClass;
+import reachloom.Decisions.Report;
+import reachloom.Decisions.Rules;
+import reachloom.Decisions.Scope;
+import reachloom.Decisions.Settings;
+import reachloom.Decisions.Tenant;
+import reachloom.Decisions.Traits;
+
+/**
+ * One gateway of 580 at 724 queries a second, on a clock of its own, with so many engines that are all well:
+ * what the benchmarks of the decisions ask it. Each query is served after it was out for some time.
+ */
+final class Desk implements Actions {
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final long SECOND = 1_000 * MILLISECOND;
+  private static final int GATEWAYS = 580;
+  private static final int RATE = 724; // queries a second, the mean of the size planned for
+  private static final long TICK = 25 * MILLISECOND;
+  private static final double PROBE_PRICE = 0.08; // as in the rig's conditions
+  private static final int CORES = 8;
+  private static final double MEMORY = 16_384;
+  private static final int ZONES = 10;
+  private static final long SPENT = 40 * MILLISECOND;
+  private static final Report WELL = new Report(0.5, 0, 0.4, 0);
+  private static final int WARM = 4_000;
+
+  final Choice choice = new Choice(this);
+  final List<EngineInfo> list = new ArrayList<>();
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final Map<String, String> sent = new LinkedHashMap<>();
+  private final ArrayDeque<String> probes = new ArrayDeque<>();
+  long now = 1_000 * SECOND;
+  private long lastWake = now;
+  private long count;
+  long asked;
+  long answered;
+  long refused;
+
+  Desk(int engines, boolean reports) {
+    for (int i = 0; i < engines; i++) {
+      list.add(engine(i, 0));
+    }
+    List<QueryClass> classes = List.of(
+        new QueryClass(SECOND, 1, 5 * SECOND, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, false, List.of(),
+            List.of(), 1, false, false),
+        new QueryClass(3 * SECOND, 2, 20 * SECOND, 8, 0.3, Effect.KEYED, Scope.ALL, 15 * SECOND, false, false,
+            List.of(), List.of(), 2, false, false));
+    choice.start(now, 1, new Settings(GATEWAYS, 1, 0, false, 5 * MILLISECOND, 0.1, 0.015, PROBE_PRICE, 0.08,
+        classes, List.of(new Kind(CORES, MEMORY)), List.of(new Tenant(0)),
+        new Limits(4, true, reports, false, true, 2 * SECOND),
+        new Rules(20 * MILLISECOND, 0.3, 10 * SECOND, 2.5, SECOND, 0, 10 * SECOND, 5, 0.2),
+        new Traits(false, false, reports, SECOND / 2, 0.5, Overbooked.WAIT)));
+    choice.engines(now, true, list);
+    for (int i = 0; i < WARM; i++) { // what is learned and remembered is as after some seconds
+      query();
+    }
+  }
+
+  static EngineInfo engine(int number, long since) {
+    return new EngineInfo(String.format("s-%08x", number + 1), EngineState.UP, 0, number % ZONES, 0, 1, since);
+  }
+
+  /** The clock goes on to the next query; what is due by then is done. */
+  void step() {
+    now += SECOND / RATE;
+    if (now - lastWake >= TICK) {
+      wake();
+    }
+    answerProbes();
+  }
+
+  void wake() {
+    lastWake = now;
+    choice.wake(now, 0);
+  }
+
+  void answerProbes() {
+    while (!probes.isEmpty()) {
+      answered++;
+      choice.probed(now, probes.poll(), true, WELL);
+    }
+  }
+
+  /** A probe of some engine is answered. */
+  void report() {
+    choice.probed(now, list.get(random.nextInt(list.size())).name(), true, WELL);
+  }
+
+  String arrive() {
+    String id = "q" + count++;
+    choice.arrive(now, new Query(id, 0, 0, null, 5 * SECOND, 30 * MILLISECOND, 100, -1, false));
+    return id;
+  }
+
+  void note(String id) {
+    String engine = sent.get(id);
+    if (engine != null) {
+      choice.note(now, new Note(id, 0, engine, NoteKind.PROGRESS, 0.5));
+    }
+  }
+
+  void end(String id) {
+    String engine = sent.remove(id);
+    if (engine != null) {
+      choice.end(now, new AttemptEnd(id, 0, engine, Outcome.SERVED, SPENT, true, 30, 100, null));
+    }
+  }
+
+  private final ArrayDeque<String> open = new ArrayDeque<>();
+  private static final int OPEN = 32; // at 724 a second, each out for some 40 ms
+
+  /** All that one query asks of the decisions, and its part of the clock's ticks and of probes. */
+  void query() {
+    step();
+    open.addLast(arrive());
+    answerProbes();
+    if (open.size() > OPEN) {
+      String id = open.removeFirst();
+      note(id);
+      end(id);
+    }
+  }
+
+  @Override
+  public void send(String query, String engine, long timeout) {
+    sent.put(query, engine);
+  }
+
+  @Override
+  public void refuse(String query, long retryAfter) {
+    refused++;
+  }
+
+  @Override
+  public void fail(String query) {
+    refused++;
+  }
+
+  @Override
+  public void probe(String engine) {
+    asked++;
+    probes.add(engine);
+  }
+
+  @Override
+  public void terms(String query, double grantMb, int priority) {
+    // not heeded here
+  }
+
+  @Override
+  public void cancel(String query, int attempt) {
+    // all are served
+  }
+
+  @Override
+  public void timer(long delay, long token) {
+    // the clock here is driven by the queries
+  }
+
+  @Override
+  public void watch() {
+    // the list does not change
+  }
+
+  @Override
+  public void log(String line) {
+    // nothing is read from it
+  }
+}
