--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -17,6 +17,8 @@
 /** Measures gossip: crashes, joins, loss, liars and sick engines. */
 public final class GossipCommand implements Lab.Command {
   private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final int MOST_VIRTUAL_ENGINES = 1_000;
+  private static final int MOST_ENGINES = 200; // on sockets: each is a listener in this process
 
   @Override
   public String purpose() {
@@ -61,10 +63,10 @@
           + "' is none of one, all, friend, flap, praise");
     }
     int instances = Lab.number(line, "instances", 8, 4, 1_000);
-    int engines = Lab.number(line, "engines", 0, 0, 200);
     if (mode.equals("sockets")) {
-      return sockets(line, engines);
+      return sockets(line, Lab.number(line, "engines", 0, 0, MOST_ENGINES));
     }
+    int engines = Lab.number(line, "engines", 0, 0, MOST_VIRTUAL_ENGINES);
     Plan plan = new Plan(instances, engines, Lab.number(line, "gateways-down", 1, 0, instances - 4),
         Lab.number(line, "sick", 0, 0, engines), Lab.number(line, "liars", 0, 0, instances),
         line.hasOption("collude"), lie, Lab.share(line, "loss", 0), Lab.share(line, "slow", 0),
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/slopes/DatagramBenchmark.java
@@ -0,0 +1,99 @@
+package reachloom.lab.slopes;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.annotations.Threads;
+import org.openjdk.jmh.annotations.Warmup;
+import reachloom.gossip.Packet;
+import reachloom.gossip.net.Identity;
+import reachloom.gossip.wire.GossipCodec;
+import reachloom.lab.gossip.Installation;
+import reachloom.membership.Message;
+import reachloom.membership.News;
+
+/** What a datagram of gossip takes: written, signed, its signature checked, read; by the news that ride on it. */
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(value = 3, jvmArgsAppend = {"-Xmx512m", "-XX:+UseSerialGC"})
+@Warmup(iterations = 3, time = 700, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 4, time = 700, timeUnit = TimeUnit.MILLISECONDS)
+@Threads(1)
+public class DatagramBenchmark {
+  /** One sender with its key and certificate. */
+  @State(Scope.Benchmark)
+  public static class Sender {
+    @Param({"0", "5", "10", "30"})
+    public int news;
+    private Path folder;
+    private Identity identity;
+    private Packet packet;
+    private byte[] unsigned;
+    private byte[] signature;
+    private byte[] whole;
+
+    @Setup(Level.Trial)
+    public void make() throws Exception {
+      folder = Files.createTempDirectory("reachloom-datagrams");
+      Installation installation = new Installation(folder);
+      installation.instance("g1", "ca", 3);
+      identity = Identity.read(installation.settings("g1", Installation.freeAddress(), 1, 1, List.of(), "ca"));
+      List<News> told = new ArrayList<>();
+      for (int i = 0; i < news; i++) {
+        told.add(new News("g" + (100 + i), i, i, reachloom.membership.State.ALIVE, ""));
+      }
+      packet = new Packet("g1", 1, 1, new Message.Ping(1, "g2"), told, List.of());
+      unsigned = write();
+      signature = identity.sign(unsigned);
+      whole = Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
+      System.arraycopy(signature, 0, whole, unsigned.length, GossipCodec.SIGNATURE);
+    }
+
+    byte[] write() {
+      return GossipCodec.write(1, packet, 1, 1, null, 1);
+    }
+
+    @TearDown(Level.Trial)
+    public void remove() throws Exception {
+      try (var files = Files.walk(folder)) {
+        files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+      }
+    }
+  }
+
+  @Benchmark
+  public byte[] write(Sender s) {
+    return s.write();
+  }
+
+  @Benchmark
+  public byte[] sign(Sender s) throws Exception {
+    return s.identity.sign(s.unsigned);
+  }
+
+  @Benchmark
+  public boolean verify(Sender s) {
+    return Identity.verify(s.identity.own().getPublicKey(), s.whole, s.unsigned.length, s.signature);
+  }
+
+  @Benchmark
+  public Packet read(Sender s) throws Exception {
+    return GossipCodec.read(s.whole, GossipCodec.head(s.whole));
+  }
+}
--- a/lab/src/test/java/reachloom/lab/slopes/Desk.java
+++ b/lab/src/test/java/reachloom/lab/slopes/Desk.java
@@ -58,9 +58,27 @@
   long refused;
 
   Desk(int engines, boolean reports) {
+    this(some(engines), reports);
+    for (int i = 0; i < WARM; i++) { // what is learned and remembered is as after some seconds
+      query();
+    }
+  }
+
+  /** One that has just been told that list, and got no query. */
+  static Desk listed(List<EngineInfo> engines) {
+    return new Desk(engines, false);
+  }
+
+  private static List<EngineInfo> some(int engines) {
+    List<EngineInfo> some = new ArrayList<>();
     for (int i = 0; i < engines; i++) {
-      list.add(engine(i, 0));
+      some.add(engine(i, 0));
     }
+    return some;
+  }
+
+  private Desk(List<EngineInfo> engines, boolean reports) {
+    list.addAll(engines);
     List<QueryClass> classes = List.of(
         new QueryClass(SECOND, 1, 5 * SECOND, 1, 0.1, Effect.SAFE, Scope.ALL, 0, false, false, List.of(),
             List.of(), 1, false, false),
@@ -72,9 +90,6 @@
         new Rules(20 * MILLISECOND, 0.3, 10 * SECOND, 2.5, SECOND, 0, 10 * SECOND, 5, 0.2),
         new Traits(false, false, reports, SECOND / 2, 0.5, Overbooked.WAIT)));
     choice.engines(now, true, list);
-    for (int i = 0; i < WARM; i++) { // what is learned and remembered is as after some seconds
-      query();
-    }
   }
 
   static EngineInfo engine(int number, long since) {
