--- a/lab/src/test/java/reachloom/lab/slopes/ConfigurationSteps.java
+++ b/lab/src/test/java/reachloom/lab/slopes/ConfigurationSteps.java
@@ -52,8 +52,8 @@
   private static void settings(Path folder) throws Exception {
     Installation installation = new Installation(folder);
     installation.instance("g1", "ca", 3);
-    Path file = installation.file(installation.settings("g1", Installation.freeAddress(), 1_000_000_000L, 4_096,
-        List.of(), "ca"), "g1");
+    Path file = installation.file(installation.settings("g1", Installation.freeAddress(), 1_000_000_000L,
+        4_096, List.of(), "ca"), "g1");
     var threads = ManagementFactory.getThreadMXBean();
     double[] taken = new double[TIMES];
     for (int i = 0; i < TIMES; i++) {
--- a/lab/src/test/java/reachloom/lab/slopes/DatagramBenchmark.java
+++ b/lab/src/test/java/reachloom/lab/slopes/DatagramBenchmark.java
@@ -28,7 +28,7 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 
-/** What a datagram of gossip takes: written, signed, its signature checked, read; by the news that ride on it. */
+/** What a datagram of gossip takes: written, signed, checked, read; by the news that ride on it. */
 @BenchmarkMode(Mode.SampleTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Fork(value = 3, jvmArgsAppend = {"-Xmx512m", "-XX:+UseSerialGC"})
@@ -53,7 +53,8 @@
       folder = Files.createTempDirectory("reachloom-datagrams");
       Installation installation = new Installation(folder);
       installation.instance("g1", "ca", 3);
-      identity = Identity.read(installation.settings("g1", Installation.freeAddress(), 1, 1, List.of(), "ca"));
+      identity = Identity.read(
+          installation.settings("g1", Installation.freeAddress(), 1, 1, List.of(), "ca"));
       List<News> told = new ArrayList<>();
       for (int i = 0; i < news; i++) {
         told.add(new News("g" + (100 + i), i, i, reachloom.membership.State.ALIVE, ""));
--- a/lab/src/test/java/reachloom/lab/slopes/DecisionBenchmark.java
+++ b/lab/src/test/java/reachloom/lab/slopes/DecisionBenchmark.java
@@ -13,6 +13,7 @@
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
 import org.openjdk.jmh.annotations.Threads;
 import org.openjdk.jmh.annotations.Warmup;
 
@@ -37,8 +38,8 @@
     public int engines;
     @Param({"false", "true"})
     public boolean reports;
-    private Desk desk;
-    private final String[] ids = new String[BATCH];
+    Desk desk;
+    final String[] ids = new String[BATCH];
 
     @Setup(Level.Trial)
     public void start() {
@@ -53,6 +54,14 @@
       }
     }
 
+    /** A benchmark of a gateway that refuses is worth nothing. */
+    @TearDown(Level.Trial)
+    public void look() {
+      if (desk.refused > 0) {
+        throw new IllegalStateException(desk.refused + " queries were refused");
+      }
+    }
+
     void ends() {
       for (int i = 0; i < BATCH && ids[i] != null; i++) {
         desk.end(ids[i]);
@@ -62,34 +71,34 @@
 
   /** Before each batch of arrivals those of the one before are served. */
   @State(Scope.Thread)
-  public static class Served {
+  public static class Served extends Gateway {
     @Setup(Level.Invocation)
-    public void serve(Gateway g) {
-      g.ends();
+    public void serve() {
+      ends();
       for (int i = 0; i < BATCH; i++) {
-        g.desk.step();
+        desk.step();
       }
-      g.desk.wake();
-      g.desk.answerProbes();
+      desk.wake();
+      desk.answerProbes();
     }
   }
 
   /** Before each batch of ends, as many queries came. */
   @State(Scope.Thread)
-  public static class Asked {
+  public static class Asked extends Gateway {
     @Setup(Level.Invocation)
-    public void ask(Gateway g) {
-      g.arrivals();
+    public void ask() {
+      arrivals();
     }
   }
 
   /** Once, as many queries came, and stay. */
   @State(Scope.Thread)
-  public static class Out {
+  public static class Out extends Gateway {
     @Setup(Level.Iteration)
-    public void ask(Gateway g) {
-      g.ends();
-      g.arrivals();
+    public void ask() {
+      ends();
+      arrivals();
     }
   }
 
@@ -101,7 +110,7 @@
 
   @Benchmark
   @OperationsPerInvocation(BATCH)
-  public void arrive(Gateway g, Served s) {
+  public void arrive(Served g) {
     for (int i = 0; i < BATCH; i++) {
       g.ids[i] = g.desk.arrive();
     }
@@ -109,7 +118,7 @@
 
   @Benchmark
   @OperationsPerInvocation(BATCH)
-  public void end(Gateway g, Asked a) {
+  public void end(Asked g) {
     for (int i = 0; i < BATCH; i++) {
       g.desk.end(g.ids[i]);
     }
@@ -117,7 +126,7 @@
 
   @Benchmark
   @OperationsPerInvocation(BATCH)
-  public void note(Gateway g, Out o) {
+  public void note(Out g) {
     for (int i = 0; i < BATCH; i++) {
       g.desk.note(g.ids[i]);
     }
--- a/lab/src/test/java/reachloom/lab/slopes/DecisionProfile.java
+++ b/lab/src/test/java/reachloom/lab/slopes/DecisionProfile.java
@@ -38,9 +38,11 @@
     Map<String, Integer> lines = new LinkedHashMap<>();
     int samples = 0;
     for (RecordedEvent event : RecordingFile.readAllEvents(file)) {
-      List<RecordedFrame> frames = event.getStackTrace() == null ? List.of() : event.getStackTrace().getFrames();
+      List<RecordedFrame> frames =
+          event.getStackTrace() == null ? List.of() : event.getStackTrace().getFrames();
       // The line that called into the library, and the one that called that: a lambda says little by itself.
-      List<String> own = frames.stream().filter(f -> f.getMethod().getType().getName().equals("reachloom.Choice")
+      List<String> own = frames.stream()
+          .filter(f -> f.getMethod().getType().getName().equals("reachloom.Choice")
               && !f.getMethod().getName().startsWith("lambda"))
           .map(f -> f.getMethod().getName() + ":" + f.getLineNumber()).limit(2).toList();
       if (!own.isEmpty()) {
--- a/lab/src/test/java/reachloom/lab/slopes/Desk.java
+++ b/lab/src/test/java/reachloom/lab/slopes/Desk.java
@@ -93,7 +93,8 @@
   }
 
   static EngineInfo engine(int number, long since) {
-    return new EngineInfo(String.format("s-%08x", number + 1), EngineState.UP, 0, number % ZONES, 0, 1, since);
+    return new EngineInfo(String.format("s-%08x", number + 1), EngineState.UP, 0, number % ZONES, 0, 1,
+        since);
   }
 
   /** The clock goes on to the next query; what is due by then is done. */
--- a/lab/src/test/java/reachloom/lab/slopes/FitLines.java
+++ b/lab/src/test/java/reachloom/lab/slopes/FitLines.java
@@ -17,7 +17,8 @@
  * of several seeds are averaged. Arguments: files.
  */
 public final class FitLines {
-  private static final Set<String> ORIGIN = Set.of("part", "instances", "cap", "loss", "seed", "load_average");
+  private static final Set<String> ORIGIN = Set.of("part", "instances", "cap", "loss", "seed", "load_average",
+      "period_ms");
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private FitLines() {
@@ -31,7 +32,8 @@
         line.fields().forEachRemaining(f -> {
           if (!ORIGIN.contains(f.getKey())) {
             String name = line.get("part").asText() + " cap " + line.get("cap").asInt() + " loss "
-                + line.get("loss").asDouble() + " " + f.getKey();
+                + line.get("loss").asDouble() + " period " + line.path("period_ms").asInt(1_000) + " "
+                + f.getKey();
             values.computeIfAbsent(name, n -> new TreeMap<>())
                 .computeIfAbsent(line.get("instances").asInt(), n -> new ArrayList<>())
                 .add(f.getValue().asDouble());
--- a/lab/src/test/java/reachloom/lab/slopes/GossipSlope.java
+++ b/lab/src/test/java/reachloom/lab/slopes/GossipSlope.java
@@ -21,12 +21,12 @@
  * with the real modules and codec. One line of JSON for each part, as soon as it is known. Sizes are built
  * one after another and then measured in turns, so that a busy machine disturbs them alike.
  *
- * <p>Arguments: sizes (with commas), cap in bytes a second, loss, seed.
+ * <p>Arguments: sizes (with commas), cap in bytes a second, loss, seed, and the period in ms (1000).
  */
 public final class GossipSlope {
   private static final long SECOND = VirtualCluster.SECOND;
-  private static final long PERIOD = SECOND;
-  private static final long STEP = SECOND / 10;
+  private static final int STEPS = 10; // looks at how far news has come, in a period
+  private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final int SEEDS = 3;
   private static final int LONGEST_START = 300; // periods
   private static final int CALMING = 30; // periods after all agree, before anything is measured
@@ -43,6 +43,7 @@
   /** One size: its cluster, and what was counted in it. */
   private static final class Size {
     private final int instances;
+    private final long period;
     private final VirtualCluster cluster;
     private final List<Long> sent = new ArrayList<>();
     private final List<Long> received = new ArrayList<>();
@@ -53,9 +54,10 @@
     private long datagrams;
     private long receivedDatagrams;
 
-    Size(int instances, int cap, double loss, long seed) {
+    Size(int instances, int cap, double loss, long seed, long period) {
       this.instances = instances;
-      cluster = new VirtualCluster(seed, PERIOD, cap, loss);
+      this.period = period;
+      cluster = new VirtualCluster(seed, period, cap, loss);
       cluster.add(instances, SEEDS);
       before = new long[instances];
       receivedBefore = new long[instances];
@@ -118,17 +120,18 @@
     int cap = Integer.parseInt(args[1]);
     double loss = Double.parseDouble(args[2]);
     long seed = Long.parseLong(args[3]);
+    long period = (args.length > 4 ? Long.parseLong(args[4]) : 1_000) * MILLISECOND;
     List<Size> built = new ArrayList<>();
     for (int instances : sizes) {
       long heap = heap();
-      Size s = new Size(instances, cap, loss, seed);
+      Size s = new Size(instances, cap, loss, seed, period);
       Map<String, Object> figures = start(s);
       figures.put("heap_bytes_per_member", (heap() - heap) / instances);
       built.add(s);
       say("start", s, cap, loss, seed, figures);
     }
     for (Size s : built) {
-      s.cluster.agenda.runUntil(s.cluster.agenda.now() + CALMING * PERIOD);
+      s.cluster.agenda.runUntil(s.cluster.agenda.now() + CALMING * s.period);
       s.countAnew();
     }
     for (int i = 0; i < ROUNDS; i++) {
@@ -149,13 +152,13 @@
   /** All start at once, until each holds exactly the others for present. */
   private static Map<String, Object> start(Size s) {
     s.countAnew();
-    int periods = 0;
-    while (!s.cluster.agreed() && periods < LONGEST_START) {
+    long from = s.cluster.agenda.now();
+    while (!s.cluster.agreed() && s.cluster.agenda.now() < from + LONGEST_START * s.period) {
       s.second();
-      periods++;
     }
     Map<String, Object> figures = new LinkedHashMap<>();
-    figures.put("settled_periods", s.cluster.agreed() ? periods : -1);
+    figures.put("settled_periods",
+        s.cluster.agreed() ? (s.cluster.agenda.now() - from) / s.period : -1);
     figures.putAll(s.counted());
     figures.put("any_second_most_bytes", s.cluster.mostBytes(false));
     return figures;
@@ -182,12 +185,12 @@
     long at = s.cluster.agenda.now();
     long first = -1;
     while (s.cluster.holding(down, State.DEAD) < MOST_SHARE * (s.instances - 1)
-        && s.cluster.agenda.now() < at + LONGEST_NEWS * PERIOD) {
-      s.cluster.agenda.runUntil(s.cluster.agenda.now() + STEP);
+        && s.cluster.agenda.now() < at + LONGEST_NEWS * s.period) {
+      s.cluster.agenda.runUntil(s.cluster.agenda.now() + s.period / STEPS);
       first = first < 0 && s.cluster.holding(down, State.SUSPECT) > 0 ? s.cluster.agenda.now() : first;
     }
-    figures.put("crash_first_seen", round((first - at) / (double) PERIOD));
-    figures.put("crash_known_to_99_after_that", round((s.cluster.agenda.now() - first) / (double) PERIOD));
+    figures.put("crash_first_seen", round((first - at) / (double) s.period));
+    figures.put("crash_known_to_99_after_that", round((s.cluster.agenda.now() - first) / (double) s.period));
     return figures;
   }
 
@@ -210,10 +213,10 @@
       }
       Arrays.fill(after[i], -1);
     }
-    while (s.cluster.agenda.now() < at + LONGEST_NEWS * PERIOD
+    while (s.cluster.agenda.now() < at + LONGEST_NEWS * s.period
         && Arrays.stream(after).anyMatch(a -> a[2] < 0)) {
-      s.cluster.agenda.runUntil(s.cluster.agenda.now() + STEP);
-      double periods = (s.cluster.agenda.now() - at) / (double) PERIOD;
+      s.cluster.agenda.runUntil(s.cluster.agenda.now() + s.period / STEPS);
+      double periods = (s.cluster.agenda.now() - at) / (double) s.period;
       for (int i = 0; i < of.size(); i++) {
         int holding = 1;
         for (Node n : s.cluster.nodes) {
@@ -257,6 +260,7 @@
     line.put("cap", cap);
     line.put("loss", loss);
     line.put("seed", seed);
+    line.put("period_ms", s.period / MILLISECOND);
     line.put("load_average", ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
     line.putAll(figures);
     System.out.println(JSON.writeValueAsString(line));
--- a/lab/src/test/java/reachloom/lab/slopes/ListSlope.java
+++ b/lab/src/test/java/reachloom/lab/slopes/ListSlope.java
@@ -153,37 +153,41 @@
     List<Point> decisions = new ArrayList<>();
     List<Point> gateway = new ArrayList<>();
     for (Size s : sizes) {
-      List<Object> held = new ArrayList<>();
-      s.read();
-      long before = heap();
-      for (int i = 0; i < KEPT; i++) {
-        held.add(s.read());
-      }
-      long after = heap();
-      config.add(new Point(s.engines, (double) (after - before) / held.size()));
+      config.add(new Point(s.engines, keptBy(s::read)));
+    }
+    for (Size s : sizes) {
       List<EngineInfo> infos = s.read().known().stream().map(Member::info).toList();
-      before = heap();
-      for (int i = 0; i < KEPT; i++) {
-        held.add(Desk.listed(infos));
-      }
-      after = heap();
-      decisions.add(new Point(s.engines, (double) (after - before) / KEPT));
+      decisions.add(new Point(s.engines, keptBy(() -> Desk.listed(infos))));
+    }
+    for (Size s : sizes) {
       List<Member> members = s.read().known();
-      EngineList first = new EngineList();
-      before = heap();
-      first.update(true, members);
-      after = heap();
-      gateway.add(new Point(s.engines, after - before));
-      held.add(first);
-      if (held.size() < KEPT) {
-        throw new IllegalStateException();
-      }
+      gateway.add(new Point(s.engines, keptBy(() -> {
+        EngineList list = new EngineList();
+        list.update(true, members);
+        return list;
+      })));
     }
     tell("kept of the configuration, bytes", config);
     tell("kept in the decisions, bytes", decisions);
     tell("kept in the gateway's list, bytes", gateway);
   }
 
+  private interface Made {
+    Object one() throws Exception;
+  }
+
+  private static double keptBy(Made made) throws Exception {
+    Object[] held = new Object[KEPT];
+    held[0] = made.one(); // and what the first one leaves behind for good
+    long before = heap();
+    for (int i = 1; i < KEPT; i++) {
+      held[i] = made.one();
+    }
+    double kept = (double) (heap() - before) / (KEPT - 1);
+    java.lang.ref.Reference.reachabilityFence(held);
+    return kept;
+  }
+
   private static long heap() throws InterruptedException {
     for (int i = 0; i < 3; i++) {
       System.gc();
--- a/lab/src/test/java/reachloom/lab/slopes/Lists.java
+++ b/lab/src/test/java/reachloom/lab/slopes/Lists.java
@@ -60,8 +60,8 @@
   }
 
   private static byte[] frame(long number, byte kind, int first, int records, long born) {
-    ByteBuffer out = ByteBuffer.allocate(HEAD + RECORD * records).putInt(HEAD - Integer.BYTES + RECORD * records)
-        .putLong(number).put(kind);
+    ByteBuffer out = ByteBuffer.allocate(HEAD + RECORD * records)
+        .putInt(HEAD - Integer.BYTES + RECORD * records).putLong(number).put(kind);
     for (int i = first; i < first + records; i++) {
       out.putInt(i + 1).put(new byte[] {10, (byte) (i % ZONES), (byte) (i / 250), (byte) (i % 250 + 1)})
           .putShort((short) PORT).put((byte) 0).put((byte) (i % ZONES)).put((byte) 0).putShort((short) 0)
