--- a/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
+++ b/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
@@ -293,9 +293,9 @@
   /** The bytes of the last second. */
   private void count(Member m, boolean counts) {
     double out = m.node.bytes - m.counted;
-    double in = m.node.received - m.countedReceived;
+    double in = m.node.receivedBytes - m.countedReceived;
     m.counted = m.node.bytes;
-    m.countedReceived = m.node.received;
+    m.countedReceived = m.node.receivedBytes;
     if (counts && m.issuer) {
       controlBytes.add(out + in);
     } else if (counts && m.node.up) {
