At the shutdown no connection is cut because others end with it

Cause: Closing cuts the oldest past a 24th of the descriptors, so that ends in order never take what new connections need; at the shutdown there are none, and all clients end at once. With twelve clients and room for four the test's second word drew a reset (Broken pipe).

Test: OrdersOfStopTest.whatComesWhileTheCloseIsOnItsWay..., with twelve clients; fails without the change.

--- a/gateway/src/main/java/reachloom/gateway/Closing.java
+++ b/gateway/src/main/java/reachloom/gateway/Closing.java
@@ -17,7 +17,7 @@
   private final Loop loop;
   private final Sockets sockets;
   private final long longest;
-  private final int most;
+  private int most;
   /** Those that the other side has still to close, the oldest first, with the end of its time. */
   private final Map<IoSession, Deadline> pending = new LinkedHashMap<>();
 
@@ -51,6 +51,11 @@
     }
   }
 
+  /** From now on nothing new needs the descriptors: none is cut for another one that is to end. */
+  void allAtOnce() {
+    most = Integer.MAX_VALUE;
+  }
+
   /** Whether one more can be ended without another one being cut for it. */
   boolean hasRoom() {
     return pending.size() < most;
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -183,6 +183,7 @@
   /** Takes no more clients, and closes the connections once what they are owed is written. */
   public void close() {
     closed = true;
+    closing.allAtOnce();
     sockets.unbind();
     clients.all().forEach(this::hangUp);
   }
--- a/gateway/src/test/java/reachloom/gateway/OrdersOfStopTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OrdersOfStopTest.java
@@ -126,24 +126,33 @@
 
   @Test
   void whatComesWhileTheCloseIsOnItsWayIsReadAndDroppedWithoutAReset() throws Exception {
-    try (ThriftClient c = new ThriftClient(config.listen());
-        ThriftClient half = new ThriftClient(config.listen())) {
-      c.execute("select 1");
-      Query q = next(Query.class);
-      answer(q);
-      assertEquals("ANSWER", c.reply().kind());
+    List<ThriftClient> all = new ArrayList<>();
+    try {
+      for (int i = 0; i < 12; i++) { // more than may be on their way to their end while others need room
+        all.add(new ThriftClient(config.listen()));
+        assertFalse(all.get(i).check());
+      }
+      all.get(0).execute("select 1");
+      answer(next(Query.class));
+      assertEquals("ANSWER", all.get(0).reply().kind());
       next(AttemptEnd.class);
-      assertFalse(half.check());
+      ThriftClient half = all.remove(1);
       half.begin("select 2");
       nothingSentOn(); // the half is read
       act(gateway::close);
-      assertTrue(c.ended());
       assertTrue(half.ended());
-      c.execute("select 3");
       half.finish();
+      for (ThriftClient c : all) {
+        assertTrue(c.ended());
+        c.execute("select 3");
+      }
+      all.add(half);
       nothingSentOn();
-      assertNoReset(c);
-      assertNoReset(half);
+      all.forEach(OrdersOfStopTest::assertNoReset);
+    } finally {
+      for (ThriftClient c : all) {
+        c.close();
+      }
     }
     await(() -> pending() == 0);
   }
