--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -12,7 +12,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import reachloom.revision.Neighbours.Other;
 import reachloom.revision.Neighbours.Strike;
 import reachloom.state.TokenBucket;
@@ -46,9 +45,6 @@
   private record Asked(long number, long until) {
   }
 
-  private record Draft(Revision revision, byte[] document) {
-  }
-
   private static final long MILLI = 1_000_000; // nanoseconds
   private static final long SECOND = 1_000 * MILLI;
   private static final int FANOUT = 3; // members of the own zone that are told at once, and again a wave later
@@ -72,13 +68,6 @@
   private static final int SEEKS_AFTER_STANDSTILL = 2;
   private static final int EARLY = 8; // one of so many that start with nothing asks an issuer at once
   private static final long STANDSTILL = SECOND; // between two ticks
-  private static final int TRIES = 2; // questions to one peer without a piece
-  private static final int QUICK_PEERS = 4; // asked one after the other, before there are pauses
-  private static final long PAUSE = 500 * MILLI; // on average
-  private static final int MOST_SOURCES = 8;
-  private static final int MOST_DRAFTS = 8;
-  private static final int MOST_DRAFT_FETCHES = 4;
-  private static final int DRAFT_TRIES = 6;
   private static final int MOST_VOTES = 9;
   private static final int MOST_NAME = 64;
   private static final int ACKS = 4; // a second, to those that ask for them by reminding
@@ -98,9 +87,8 @@
   private final Serving serving = new Serving();
   private final Counting counting = new Counting();
   private final Sums sums = new Sums();
-  private final Map<Long, Draft> drafts = new LinkedHashMap<>(); // by mark
-  private final List<Fetch> draftFetches = new ArrayList<>();
-  private final Map<String, Peer> sources = new LinkedHashMap<>();
+  private final Drafts drafts = new Drafts();
+  private final Pull pull;
   private final Map<String, Peer> owed = new LinkedHashMap<>();
   private final TreeMap<String, Asked> asked = new TreeMap<>();
   private final TokenBucket proofs = new TokenBucket(PROOFS, PROOFS);
@@ -110,8 +98,6 @@
   private final Set<String> censusDue = new TreeSet<>();
   private List<String> counters = List.of();
   private List<String> members = List.of();
-  private Fetch fetch;
-  private long fetchAt;
   private RevisionLog.Entry applying;
   private long applyingSince;
   private boolean alarmed;
@@ -149,7 +135,8 @@
     this.random = random;
     this.outlet = outlet;
     this.host = host;
-    neighbours = new Neighbours(place, issuers, random);
+    neighbours = new Neighbours(name, place, issuers, random);
+    pull = new Pull(neighbours, log, outlet, random);
     nextSeek = now + random.nextLong(SEEK);
     censusAgain = now + random.nextLong(CENSUS_AGAIN);
     lastTick = now;
@@ -211,7 +198,7 @@
       } else if (w instanceof Word.Piece p && !liar) {
         piece(now, sender, p);
       } else if (w instanceof Word.Acknowledgement a) {
-        changed |= isOfZone(sender) && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
+        changed |= neighbours.isOfZone(sender) && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
       } else if (w instanceof Word.Census c) {
         census(now, sender, c);
       }
@@ -219,10 +206,6 @@
     step(now);
   }
 
-  private boolean isOfZone(Peer p) {
-    return p.place() == place && !neighbours.isIssuer(p.name());
-  }
-
   private void have(long now, Peer sender, Word.Have h) {
     Other o = neighbours.get(sender.name());
     if (o != null) {
@@ -230,15 +213,15 @@
       o.inForce = h.inForce();
       o.mark = h.mark();
     }
-    if (isOfZone(sender)) {
+    if (neighbours.isOfZone(sender)) {
       changed |= counting.have(sender.name(), h.inForce(), h.mark());
     }
     long newest = log.newestNumber();
     if (h.known() > newest) {
       ask(now, sender, h.known());
-    } else if (h.known() == newest && fetch != null) {
-      source(now, sender);
-    } else if (h.known() < newest && !busy() && (isOfZone(sender) || issuer && now - learntAt > GRACE)) {
+    } else if (h.known() == newest) {
+      pull.source(sender);
+    } else if (h.known() < newest && !busy() && (neighbours.isOfZone(sender) || issuer && now - learntAt > GRACE)) {
       owe(now, sender);
     }
   }
@@ -285,7 +268,7 @@
       forked(now, r);
     } else {
       learn(now, r, n.votes(), null);
-      source(now, sender);
+      pull.source(sender);
     }
     if (question != null && question.number > log.newestNumber()) {
       neighbours.strike(now, sender.name(), Strike.UNPROVED, question.number); // it can't prove what it says
@@ -318,35 +301,17 @@
     if (o != null) {
       o.known = Math.max(o.known, r.number());
     }
-    if (fetch != null && fetch.revision.equals(r)) {
-      pushed(now, sender);
+    if (pull.isFor(r)) {
+      pull.pushed(now, sender);
     }
     RevisionLog.Entry in = log.inForce();
     boolean done = in != null && in.revision().number() == r.number()
         || refused != null && refused.revision().number() == r.number();
-    if (done && isOfZone(sender) && acks.take(now)) {
+    if (done && neighbours.isOfZone(sender) && acks.take(now)) {
       tell(now, sender, acknowledgement());
     }
   }
 
-  /** That one can be asked for the document of the newest. */
-  private void source(long now, Peer peer) {
-    if (sources.size() < MOST_SOURCES) {
-      sources.put(peer.name(), peer);
-    }
-  }
-
-  /** That one has just told of the newest: of a large one, it tells when nobody waits for it there. */
-  private void pushed(long now, Peer peer) {
-    source(now, peer);
-    boolean free = fetch != null && fetch.isEmpty() && !neighbours.rests(now, peer.name())
-        && (fetch.from == null || isOfZone(peer) && fetch.from != peer);
-    if (free) {
-      fetch.ask(now, peer);
-      fetchAt = now;
-    }
-  }
-
   private void forked(long now, Revision r) {
     if (log.fork(r)) {
       host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by " + r.issuer()
@@ -355,18 +320,15 @@
   }
 
   private void learn(long now, Revision r, List<Vote> votes, byte[] document) {
-    Draft draft = drafts.get(r.mark());
-    byte[] held = document == null && draft != null ? draft.document : document;
+    byte[] held = document == null ? drafts.document(r.number(), r.mark()) : document;
     log.add(r, votes, held);
     learntAt = now;
     seeksLeft = 0;
-    sources.clear();
     pushes.clear();
     waves = 0;
     neighbours.zone().forEach(o -> o.reminders = 0);
     changed = true;
-    fetch = held == null ? new Fetch(r, null, now) : null;
-    fetchAt = now;
+    pull.go(now, held == null ? r : null);
     if (held != null) {
       arrived(now, 1);
     }
@@ -374,7 +336,7 @@
 
   /** The document of the newest is here: it goes on to others, and to the host. */
   private void arrived(long now, int issueWaves) {
-    fetch = null;
+    pull.go(now, null);
     waves = issuer ? issueWaves : rides() ? WAVES : WAVES * FANOUT; // of a large one, one at a time
     nextWave = now;
     offer(now);
@@ -387,9 +349,8 @@
     }
     RevisionLog.Entry e = log.held(w.number(), w.base() == 0 ? w.baseMark() : 0);
     byte[] document = e == null ? null : e.document();
-    Draft draft = w.base() == 0 && neighbours.isIssuer(asker.name()) ? drafts.get(w.baseMark()) : null;
-    if (document == null && draft != null && draft.revision.number() == w.number()) {
-      document = draft.document;
+    if (document == null && w.base() == 0 && neighbours.isIssuer(asker.name())) {
+      document = drafts.document(w.number(), w.baseMark());
     }
     if (document == null) {
       if (log.newestNumber() > w.number()) {
@@ -407,40 +368,12 @@
   }
 
   private void piece(long now, Peer sender, Word.Piece p) {
-    if (fetch != null) {
-      byte[] document = take(now, fetch, sender, p);
-      if (document != null) {
-        neighbours.good(sender.name(), p.number());
-        log.document(fetch.revision.number(), document);
-        arrived(now, 1);
-      }
-    }
-    for (Fetch f : List.copyOf(draftFetches)) {
-      byte[] document = take(now, f, sender, p);
-      if (document != null) {
-        draftFetches.remove(f);
-        draft(f.revision, document);
-        f.then.accept(document);
-      }
-    }
-  }
-
-  /** The whole document, if that piece completes it. */
-  private byte[] take(long now, Fetch f, Peer sender, Word.Piece p) {
-    RevisionLog.Entry base = p.base() == 0 ? null : log.held(p.base(), 0);
-    if (!f.take(now, sender.name(), p, base) || !f.whole()) {
-      return null;
-    }
-    byte[] document = f.document();
-    if (document == null) {
-      String liar = f.liar();
-      if (liar != null) {
-        neighbours.strike(now, liar, Strike.LIED, 0);
-        sources.remove(liar);
-      }
-      f.from = f.then == null ? null : f.from;
+    byte[] document = pull.piece(now, sender, p);
+    if (document != null) {
+      log.document(p.number(), document);
+      arrived(now, 1);
     }
-    return document;
+    drafts.piece(now, sender, p, log, neighbours);
   }
 
   private void census(long now, Peer sender, Word.Census c) {
@@ -501,10 +434,8 @@
   private void woke(long now, long gap) {
     asked.clear();
     neighbours.shift(gap);
-    if (fetch != null) {
-      fetch.shift(gap);
-    }
-    draftFetches.forEach(f -> f.shift(gap));
+    pull.shift(gap);
+    drafts.shift(gap);
     seeks = 1;
     seeksLeft = Math.max(seeksLeft, SEEKS_AFTER_STANDSTILL);
     nextSeek = now;
@@ -520,7 +451,7 @@
     near.forEach(o -> tell(now, o.peer, newest));
     // Where all start at once, some ask the issuers, and the others their zone.
     if (seeks > 0 || counts() && members.size() > 1 || random.nextInt(EARLY) == 0) {
-      Peer i = anIssuer(now);
+      Peer i = neighbours.anIssuer(now);
       if (i != null) {
         tell(now, i, newest);
       }
@@ -530,12 +461,6 @@
     nextSeek = now + pause / 2 + random.nextLong(pause);
   }
 
-  private Peer anIssuer(long now) {
-    List<Peer> open = issuers.stream()
-        .filter(i -> !i.name().equals(name) && !neighbours.rests(now, i.name())).toList();
-    return open.isEmpty() ? null : open.get(random.nextInt(open.size()));
-  }
-
   /** Draws those that are told of the newest next. */
   private void wave(long now) {
     if (waves <= 0 || now < nextWave || !pushes.isEmpty() || busy()) {
@@ -602,17 +527,8 @@
         acksDue.remove(c);
       }
     }
-    if (fetch != null) {
-      step(now, fetch);
-    }
-    for (Fetch f : List.copyOf(draftFetches)) {
-      if (f.tries > 0 && f.late(now) && f.peersTried++ >= DRAFT_TRIES || now >= f.leaveAt) {
-        draftFetches.remove(f);
-        f.then.accept(null);
-      } else {
-        question(now, f);
-      }
-    }
+    pull.step(now);
+    drafts.step(now, outlet);
     for (Peer p : List.copyOf(owed.values())) {
       if (log.newest().document() == null || !tellNewest(now, p)) {
         break;
@@ -639,62 +555,6 @@
     return counting.census(place, newest, members, (now - learntAt) / MILLI);
   }
 
-  private void step(long now, Fetch f) {
-    if (now < fetchAt) {
-      return;
-    }
-    boolean silent = f.from != null
-        && (f.late(now) && (f.isEmpty() || f.tries >= TRIES) || now >= f.leaveAt);
-    if (silent) {
-      neighbours.strike(now, f.from.name(), Strike.SILENT, 0);
-      f.from = null;
-    }
-    if (f.from == null) {
-      Peer next = whom(now, f);
-      if (silent && f.peersTried >= QUICK_PEERS || next == null) {
-        fetchAt = now + PAUSE / 2 + random.nextLong(PAUSE);
-        if (next == null) {
-          return;
-        }
-      }
-      f.ask(now, next);
-      if (now < fetchAt) {
-        return;
-      }
-    }
-    question(now, f);
-  }
-
-  private void question(long now, Fetch f) {
-    if ((f.until == 0 || f.late(now)) && tell(now, f.from, f.want(log.newestHeld()))) {
-      f.asked(now);
-    }
-  }
-
-  /** Whom to ask for a document: who has it, the own zone first, then issuers, then others. */
-  private Peer whom(long now, Fetch f) {
-    Peer near = some(now, neighbours.zone(), f, this::isOfZone);
-    // Where many want a large one, the first of a zone to have it can't serve them all: every other one asks
-    // an issuer.
-    Peer issuing = near == null || f.peersTried % 2 == 1 ? anIssuer(now) : null;
-    if (issuing != null || near != null) {
-      return issuing != null ? issuing : near;
-    }
-    return some(now, List.of(), f, p -> true);
-  }
-
-  /** One of those that have it, or told of it, by chance. */
-  private Peer some(long now, List<Other> of, Fetch f, Predicate<Peer> wanted) {
-    List<Peer> open = new ArrayList<>();
-    sources.values().stream().filter(wanted).filter(p -> !neighbours.rests(now, p.name())).forEach(open::add);
-    neighbours.draw(of, 1, o -> has(now, o, f)).forEach(o -> open.add(o.peer));
-    return open.isEmpty() ? null : open.get(random.nextInt(open.size()));
-  }
-
-  private boolean has(long now, Other o, Fetch f) {
-    return o.known == f.revision.number() && !neighbours.rests(now, o.peer.name());
-  }
-
   private boolean tell(long now, Peer to, Word word) {
     return outlet.tell(now, to.name(), to.address(), List.of(word));
   }
@@ -804,7 +664,7 @@
       learn(now, revision, votes, document);
       waves = ISSUE_WAVES;
       issuers.stream().filter(i -> !i.name().equals(name)).forEach(i -> owed.put(i.name(), i));
-    } else if (fetch != null && fetch.revision.equals(revision)) {
+    } else if (pull.isFor(revision)) {
       log.document(revision.number(), document);
       arrived(now, ISSUE_WAVES);
     }
@@ -822,17 +682,13 @@
   @Override
   public byte[] document(Revision revision) {
     RevisionLog.Entry e = log.held(revision.number(), revision.mark());
-    Draft d = drafts.get(revision.mark());
-    return e != null ? e.document() : d != null ? d.document : null;
+    return e != null ? e.document() : drafts.document(revision.number(), revision.mark());
   }
 
   /** Holds a document that this issuer has proposed or accepted, for the other issuers to fetch. */
   @Override
   public void draft(Revision revision, byte[] document) {
-    drafts.put(revision.mark(), new Draft(revision, document));
-    if (drafts.size() > MOST_DRAFTS) {
-      drafts.remove(drafts.keySet().iterator().next());
-    }
+    drafts.hold(revision, document);
   }
 
   /**
@@ -842,14 +698,12 @@
   @Override
   public void fetchDraft(long now, Revision revision, Peer from, Consumer<byte[]> then) {
     byte[] held = document(revision);
-    if (held != null || draftFetches.size() >= MOST_DRAFT_FETCHES || !sane(revision, List.of())) {
+    if (held != null || !sane(revision, List.of())) {
       then.accept(held);
       return;
     }
-    Fetch f = new Fetch(revision, then, now);
-    f.ask(now, from);
-    draftFetches.add(f);
-    question(now, f);
+    drafts.fetch(now, revision, from, then);
+    drafts.step(now, outlet);
   }
 
   /** What the issuers' counters told last of each place; at an issuer only. */
@@ -868,9 +722,8 @@
     if (applying != null) {
       lines.add("revision " + applying.revision().number() + " is being put in force");
     }
-    if (fetch != null) {
-      lines.add("revision " + fetch.revision.number() + " is being fetched"
-          + (fetch.from == null ? "" : " from " + fetch.from.name()));
+    if (pull.line() != null) {
+      lines.add(ascii(pull.line()));
     }
     if (refused != null && refused.mark() != have().mark()) {
       lines.add("revision " + refused.revision().number() + " refused: " + ascii(refusal));
--- /dev/null
+++ b/decisions/src/main/java/reachloom/revision/Drafts.java
@@ -0,0 +1,71 @@
+package reachloom.revision;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Documents of revisions that issuers have proposed or accepted, and those that are being fetched. */
+final class Drafts {
+  private record Draft(Revision revision, byte[] document) {
+  }
+
+  private static final int MOST = 8; // of each issuer one, about
+  private static final int MOST_FETCHES = 4;
+  private static final int TRIES = 6;
+
+  private final Map<Long, Draft> drafts = new LinkedHashMap<>(); // by mark
+  private final List<Fetch> fetches = new ArrayList<>();
+
+  void hold(Revision revision, byte[] document) {
+    drafts.put(revision.mark(), new Draft(revision, document));
+    if (drafts.size() > MOST) {
+      drafts.remove(drafts.keySet().iterator().next());
+    }
+  }
+
+  /** The document of the draft with that number and mark, or null. */
+  byte[] document(long number, long mark) {
+    Draft d = drafts.get(mark);
+    return d != null && d.revision.number() == number ? d.document : null;
+  }
+
+  /** Fetches one; {@code then} is given null where it can't be had. */
+  void fetch(long now, Revision revision, Peer from, Consumer<byte[]> then) {
+    if (fetches.size() >= MOST_FETCHES) {
+      then.accept(null);
+      return;
+    }
+    Fetch f = new Fetch(revision, then, now);
+    f.ask(now, from);
+    fetches.add(f);
+  }
+
+  void piece(long now, Peer sender, Word.Piece p, RevisionLog log, Neighbours neighbours) {
+    for (Fetch f : List.copyOf(fetches)) {
+      byte[] document = f.take(now, sender, p, log, neighbours);
+      if (document != null) {
+        fetches.remove(f);
+        hold(f.revision, document);
+        f.then.accept(document);
+      }
+    }
+  }
+
+  /** Asks, or gives up, where it is time. */
+  void step(long now, Outlet outlet) {
+    for (Fetch f : List.copyOf(fetches)) {
+      if (f.tries > 0 && f.late(now) && f.peersTried++ >= TRIES || now >= f.leaveAt) {
+        fetches.remove(f);
+        f.then.accept(null);
+      } else {
+        f.question(now, outlet, null);
+      }
+    }
+  }
+
+  void shift(long by) {
+    fetches.forEach(f -> f.shift(by));
+  }
+}
--- a/decisions/src/main/java/reachloom/revision/Fetch.java
+++ b/decisions/src/main/java/reachloom/revision/Fetch.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -62,8 +63,14 @@
     leaveAt = now + AT_MOST;
   }
 
-  /** The question that goes out next; {@code held} is the newest whose document is here, or null. */
-  Word.Want want(RevisionLog.Entry held) {
+  /** Asks where nothing is on its way; {@code held} is the newest whose document is here, or null. */
+  void question(long now, Outlet outlet, RevisionLog.Entry held) {
+    if ((until == 0 || late(now)) && outlet.tell(now, from.name(), from.address(), List.of(want(held)))) {
+      asked(now);
+    }
+  }
+
+  private Word.Want want(RevisionLog.Entry held) {
     if (first() == 0) {
       base = deltaFailed || then != null ? null : held;
     }
@@ -72,8 +79,7 @@
         first());
   }
 
-  /** The question has gone out. */
-  void asked(long now) {
+  private void asked(long now) {
     tries++;
     windowEnd = first() + WINDOW - 1;
     long first = first() > 0 ? 0 : FIRST_OF_LARGEST * revision.size() / Revision.MOST_DOCUMENT;
@@ -96,8 +102,24 @@
     base = null;
   }
 
-  /** Takes a piece; {@code baseHeld} is the base that it names where that is held, else null. */
-  boolean take(long now, String sender, Word.Piece p, RevisionLog.Entry baseHeld) {
+  /** Takes a piece; gives the whole document if that completes it. Who sent what is not it is struck. */
+  byte[] take(long now, Peer sender, Word.Piece p, RevisionLog log, Neighbours neighbours) {
+    RevisionLog.Entry held = p.base() == 0 ? null : log.held(p.base(), 0);
+    if (!take(now, sender.name(), p, held) || first() < pieces.length) {
+      return null;
+    }
+    byte[] document = document();
+    if (document == null) {
+      String liar = liar();
+      if (liar != null) {
+        neighbours.strike(now, liar, Neighbours.Strike.LIED, 0);
+      }
+      from = then == null ? null : from; // a draft is had from its proposer alone
+    }
+    return document;
+  }
+
+  private boolean take(long now, String sender, Word.Piece p, RevisionLog.Entry baseHeld) {
     boolean fits = p.number() == revision.number() && p.of() >= 1 && p.of() <= MOST_PIECES && p.index() >= 0
         && p.index() < p.of() && p.bytes().length <= PIECE && (p.index() == p.of() - 1 || p.bytes().length > 0)
         && (p.base() == 0 ? p.of() == pieces(revision.size()) : baseHeld != null && !deltaFailed);
@@ -130,12 +152,8 @@
     return pieces.length == 0;
   }
 
-  boolean whole() {
-    return pieces.length > 0 && first() == pieces.length;
-  }
-
   /** The document, or null where what has come is not it; who is to blame then is in {@link #liar}. */
-  byte[] document() {
+  private byte[] document() {
     ByteBuffer all = ByteBuffer.allocate(Arrays.stream(pieces).mapToInt(p -> p.length).sum());
     Arrays.stream(pieces).forEach(all::put);
     byte[] document = ofBase == 0 ? all.array() : Delta.apply(base.document(), all.array());
@@ -143,7 +161,7 @@
   }
 
   /** What came is not the document: it starts anew; the only one who sent of it, or null. */
-  String liar() {
+  private String liar() {
     String liar = sources.size() == 1 ? sources.iterator().next() : null;
     onePeerOnly = liar == null; // pieces of several don't tell who was wrong
     deltaFailed |= ofBase != 0;
--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -55,12 +55,14 @@
 
   private final int place;
   private final Set<String> issuers = new TreeSet<>();
+  private final List<Peer> otherIssuers;
   private final SplittableRandom random;
   private TreeMap<String, Other> others = new TreeMap<>();
   private final TreeMap<Integer, List<Other>> places = new TreeMap<>();
   private final TreeMap<String, Rest> resting = new TreeMap<>();
 
-  Neighbours(int place, List<Peer> issuers, SplittableRandom random) {
+  Neighbours(String name, int place, List<Peer> issuers, SplittableRandom random) {
+    otherIssuers = issuers.stream().filter(i -> !i.name().equals(name)).toList();
     this.place = place;
     issuers.forEach(i -> this.issuers.add(i.name()));
     this.random = random;
@@ -87,6 +89,21 @@
     return issuers.contains(name);
   }
 
+  boolean isOfZone(Peer p) {
+    return p.place() == place && !isIssuer(p.name());
+  }
+
+  /** Another issuer that may be asked, by chance, or null. */
+  Peer anIssuer(long now) {
+    List<Peer> open = otherIssuers.stream().filter(i -> !rests(now, i.name())).toList();
+    return open.isEmpty() ? null : open.get(random.nextInt(open.size()));
+  }
+
+  /** All that are present. */
+  Collection<Other> all() {
+    return others.values();
+  }
+
   /** The member of that name, if it is present; else null. */
   Other get(String name) {
     return others.get(name);
