Test: a change in force at nine processes through a kill, a standstill and a restart of all

Need: what the modules show in simulated time has to hold for processes of the program. Three issuers and six gateways: a change moves the watch of all to another change log; one gateway stands still over three issues while the first issuer is killed; that one comes back; all gateways are killed and started anew with nothing; a document that does not check is refused by each, and the one in force stays.

--- a/lab/src/main/java/reachloom/lab/gossip/Installation.java
+++ b/lab/src/main/java/reachloom/lab/gossip/Installation.java
@@ -68,6 +68,14 @@
     s.authorities().forEach(a -> text.append(String.format("    <authority file=\"%s\"/>%n", a)));
     text.append(String.format("    <revoked file=\"%s\"/>%n", s.revoked()));
     s.seeds().forEach(a -> text.append(String.format("    <seed address=\"%s\"/>%n", words(a))));
+    s.configuration().ifPresent(c -> {
+      text.append(String.format("    <configuration region=\"%d\" zone=\"%d\">%n", c.place() >> Byte.SIZE,
+          c.place() & 0xff));
+      c.issuers().forEach(i -> text.append(String.format(
+          "      <issuer name=\"%s\" address=\"%s\" certificate=\"%s\"/>%n", i.name(), words(i.address()),
+          i.certificate())));
+      text.append("    </configuration>\n");
+    });
     return Files.writeString(path(name + ".xml"), text + "  </gossip>\n</reachloom>\n");
   }
 
--- /dev/null
+++ b/lab/src/test/java/reachloom/lab/scale/RevisionProcessesTest.java
@@ -0,0 +1,223 @@
+package reachloom.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reachloom.config.ConfigurationSettings;
+import reachloom.config.ConfigurationSettings.Issuer;
+import reachloom.config.GossipSettings;
+import reachloom.lab.gossip.Installation;
+import reachloom.standin.ChangeLogStandIn;
+import reachloom.standin.GatewayProcess;
+import reachloom.standin.NodeStandIn;
+import reachloom.standin.ThriftClient;
+import reachloom.tools.RevisionTool;
+
+/** Three issuers and six gateways, each a process of the program, with faults between them. */
+class RevisionProcessesTest {
+  private static final long PERIOD = 100_000_000; // nanoseconds
+  private static final int CAP = 131_072;
+  private static final int GATEWAYS = 6;
+  private static final long LONG = TimeUnit.SECONDS.toNanos(60);
+  private static final List<String> ISSUERS = List.of("c1", "c2", "c3");
+
+  @TempDir
+  Path folder;
+
+  private final Map<String, GossipSettings> settings = new LinkedHashMap<>();
+  private final Map<String, Process> issuers = new LinkedHashMap<>();
+  private final Map<String, GatewayProcess> gateways = new LinkedHashMap<>();
+  private Installation installation;
+  private ChangeLogStandIn before;
+  private ChangeLogStandIn after;
+  private NodeStandIn engine;
+
+  private interface Condition {
+    boolean holds() throws Exception;
+  }
+
+  private static void await(String what, Condition condition) throws Exception {
+    long until = System.nanoTime() + LONG;
+    while (!condition.holds()) {
+      assertTrue(System.nanoTime() < until, what);
+      Thread.sleep(50);
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    before = new ChangeLogStandIn(1);
+    after = new ChangeLogStandIn(1);
+    engine = new NodeStandIn();
+    installation = new Installation(Files.createDirectory(folder.resolve("all")));
+    List<Issuer> named = new ArrayList<>();
+    for (String name : ISSUERS) {
+      installation.instance(name, "ca", 1);
+      named.add(new Issuer(name, Installation.freeAddress(), installation.path(name + ".crt")));
+    }
+    List<InetSocketAddress> seeds = named.stream().map(Issuer::address).toList();
+    for (int i = 0; i < ISSUERS.size() + GATEWAYS; i++) {
+      boolean issuer = i < ISSUERS.size();
+      String name = issuer ? ISSUERS.get(i) : "g" + (i - ISSUERS.size());
+      if (!issuer) {
+        installation.instance(name, "ca", 1);
+      }
+      InetSocketAddress listen = issuer ? named.get(i).address() : Installation.freeAddress();
+      GossipSettings s = installation.settings(name, listen, PERIOD, CAP, seeds, "ca")
+          .with(new ConfigurationSettings(1 << Byte.SIZE | i % 2, named));
+      settings.put(name, s);
+      installation.file(s, name);
+    }
+    for (String name : ISSUERS) {
+      assertEquals(0, tool("init", "--settings", file(name), "--store", store(name)));
+      startIssuer(name);
+    }
+    for (int g = 0; g < GATEWAYS; g++) {
+      startGateway("g" + g);
+    }
+    for (GatewayProcess g : gateways.values()) {
+      g.ready().close();
+    }
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    for (GatewayProcess g : gateways.values()) {
+      g.close();
+    }
+    for (Process p : issuers.values()) {
+      p.destroyForcibly().waitFor();
+    }
+    before.close();
+    after.close();
+    engine.close();
+  }
+
+  private String file(String name) {
+    return installation.path(name + ".xml").toString();
+  }
+
+  private String store(String name) {
+    return folder.resolve("store-" + name).toString();
+  }
+
+  private static int tool(String... words) {
+    return RevisionTool.run(words, System.out, System.err);
+  }
+
+  private void startIssuer(String name) throws IOException {
+    issuers.put(name, GatewayProcess.start(folder.resolve("none"), folder.resolve(name + ".log"), "revision",
+        "serve", "--settings", file(name), "--store", store(name)));
+  }
+
+  private void startGateway(String name) throws IOException {
+    Path own = Files.createDirectories(folder.resolve(name));
+    gateways.put(name, new GatewayProcess(own,
+        GatewayProcess.config(GatewayProcess.freeAddress(), before, engine)
+            .replace("\"g1\"", '"' + name + '"'),
+        List.of("--settings", file(name))));
+  }
+
+  private String moved(InetSocketAddress to) {
+    return "{\"changelog\":\"127.0.0.1:" + to.getPort() + "\"}";
+  }
+
+  /** Issues at that issuer, as an operator does on its machine; gives the number. */
+  private long issue(String issuer, String document) throws Exception {
+    Path text = Files.writeString(folder.resolve("document.json"), document);
+    ByteArrayOutputStream said = new ByteArrayOutputStream();
+    PrintStream to = new PrintStream(said, true);
+    for (long until = System.nanoTime() + LONG;;) {
+      int status = RevisionTool.run(new String[] {"issue", "--store", store(issuer), "--document",
+          text.toString()}, to, to);
+      if (status == 0) {
+        return Long.parseLong(said.toString().replaceFirst("(?s).*issued as revision (\\d+).*", "$1"));
+      }
+      assertTrue(System.nanoTime() < until, said::toString); // a majority may still be on its way
+      Thread.sleep(200);
+    }
+  }
+
+  private static boolean inForce(GatewayProcess g, long number) throws IOException {
+    return Files.readString(g.log).contains("revision " + number + " is in force");
+  }
+
+  private void awaitInForce(long number) throws Exception {
+    for (Map.Entry<String, GatewayProcess> g : gateways.entrySet()) {
+      await("revision " + number + " at " + g.getKey() + ": " + Files.readString(g.getValue().log),
+          () -> inForce(g.getValue(), number));
+    }
+  }
+
+  @Test
+  void aChangeIsInForceEverywhereThroughAKilledIssuerAStandstillAndARestartOfAll() throws Exception {
+    try (ThriftClient client = gateways.get("g0").ready()) {
+      // All follow the change log to its new address, and requests go on.
+      long first = issue("c1", moved(after.address()));
+      awaitInForce(first);
+      await("all watch the new log", () -> after.hellos.size() >= GATEWAYS);
+      assertEquals("ANSWER", client.run("select 1", "limit", "20000").kind());
+
+      // One stands still over three issues, and the first issuer is killed meanwhile: the rest goes on.
+      GatewayProcess still = gateways.get("g1");
+      still.standStill();
+      issuers.get("c1").destroyForcibly().waitFor();
+      issue("c2", moved(before.address()));
+      issue("c3", moved(after.address()));
+      long newest = issue("c2", moved(before.address()));
+      assertEquals(first + 3, newest);
+      for (Map.Entry<String, GatewayProcess> g : gateways.entrySet()) {
+        if (g.getValue() != still) {
+          await("at " + g.getKey(), () -> inForce(g.getValue(), newest));
+        }
+      }
+      still.goOn();
+      awaitInForce(newest);
+      assertEquals("ANSWER", client.run("select 1", "limit", "20000").kind());
+    }
+    // A killed issuer that is back has kept the log, and goes on with it.
+    startIssuer("c1");
+    long next = issue("c1", moved(after.address()));
+    awaitInForce(next);
+
+    // All gateways at once, none of which keeps anything: each has the newest again, and none an older one.
+    for (GatewayProcess g : gateways.values()) {
+      g.kill();
+    }
+    for (int g = 0; g < GATEWAYS; g++) {
+      startGateway("g" + g);
+    }
+    awaitInForce(next);
+    for (GatewayProcess g : gateways.values()) {
+      assertEquals(1, Files.readString(g.log).split("is in force", -1).length - 1, "only the newest");
+    }
+  }
+
+  @Test
+  void whatDoesNotCheckAtAGatewayIsRefusedThereAndTheOneInForceStays() throws Exception {
+    long good = issue("c1", moved(after.address()));
+    awaitInForce(good);
+    long bad = issue("c2", "{\"changelog\":\"nowhere\"}");
+    for (GatewayProcess g : gateways.values()) {
+      await("refused", () -> Files.readString(g.log).contains("revision " + bad + " is refused, " + good
+          + " stays in force: changelog: 'nowhere' is not an address"));
+    }
+    long next = issue("c3", moved(before.address()));
+    awaitInForce(next);
+  }
+}
