--- a/decisions/src/main/java/reachloom/gossip/Gossip.java
+++ b/decisions/src/main/java/reachloom/gossip/Gossip.java
@@ -229,6 +229,9 @@
 
   @Override
   public boolean tell(long now, String to, long at, List<Word> words) {
+    if (rider == null) {
+      return false; // what rides is being started, and may have something to say already
+    }
     Message.Tell tell = new Message.Tell();
     List<Word> all = new ArrayList<>(rider.always());
     all.addAll(words);
--- a/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
+++ b/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
@@ -313,7 +313,9 @@
         document[k] = (byte) (' ' + random.nextInt('~' - ' '));
       }
     }
-    List<Member> up = control().stream().filter(m -> m.node.up).toList();
+    // Who issues goes to an issuer that has the others at hand.
+    List<Member> up = control().stream()
+        .filter(m -> m.node.up && !(apart && region(m.node) == plan.regions - 1)).toList();
     proposed++;
     if (up.isEmpty()) {
       notIssued++;
