--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -43,6 +43,7 @@
   private static final class Rest {
     private long until;
     private int strikes;
+    private long claimed;
     private boolean lied;
   }
 
@@ -54,12 +55,14 @@
 
   private final int place;
   private final Set<String> issuers = new TreeSet<>();
+  private final List<Peer> otherIssuers;
   private final SplittableRandom random;
   private TreeMap<String, Other> others = new TreeMap<>();
   private final TreeMap<Integer, List<Other>> places = new TreeMap<>();
   private final TreeMap<String, Rest> resting = new TreeMap<>();
 
-  Neighbours(int place, List<Peer> issuers, SplittableRandom random) {
+  Neighbours(String name, int place, List<Peer> issuers, SplittableRandom random) {
+    otherIssuers = issuers.stream().filter(i -> !i.name().equals(name)).toList();
     this.place = place;
     issuers.forEach(i -> this.issuers.add(i.name()));
     this.random = random;
@@ -86,6 +89,21 @@
     return issuers.contains(name);
   }
 
+  boolean isOfZone(Peer p) {
+    return p.place() == place && !isIssuer(p.name());
+  }
+
+  /** Another issuer that may be asked, by chance, or null. */
+  Peer anIssuer(long now) {
+    List<Peer> open = otherIssuers.stream().filter(i -> !rests(now, i.name())).toList();
+    return open.isEmpty() ? null : open.get(random.nextInt(open.size()));
+  }
+
+  /** All that are present. */
+  Collection<Other> all() {
+    return others.values();
+  }
+
   /** The member of that name, if it is present; else null. */
   Other get(String name) {
     return others.get(name);
@@ -118,8 +136,8 @@
     return drawn;
   }
 
-  /** That one did not do as it said, and is not asked for a time. */
-  void strike(long now, String name, Strike why) {
+  /** That one did not do as it said, and is not asked for a time; {@code claimed} is what it did not prove. */
+  void strike(long now, String name, Strike why, long claimed) {
     Rest r = resting.get(name);
     if (r == null) {
       if (resting.size() >= MOST_RESTING) {
@@ -132,12 +150,13 @@
     r.until = Math.max(r.until, now + (REST << Math.min(r.strikes, MOST_DOUBLINGS)));
     r.strikes += why == Strike.SILENT ? 0 : 1;
     r.lied |= why == Strike.LIED;
+    r.claimed = Math.max(r.claimed, claimed);
   }
 
-  /** That one has sent what it was asked for; where it also proved what it had claimed, more is forgotten. */
-  void good(String name, boolean proved) {
+  /** That one has sent what belongs to that revision; if late, so that it is forgiven, lies are not. */
+  void good(String name, long number) {
     Rest r = resting.get(name);
-    if (r != null && !r.lied && (proved || r.strikes == 0)) {
+    if (r != null && !r.lied && number >= r.claimed) {
       resting.remove(name);
     }
   }
