--- a/lab/src/main/java/reachloom/lab/slopes/GatewayRig.java
+++ b/lab/src/main/java/reachloom/lab/slopes/GatewayRig.java
@@ -121,6 +121,7 @@
     PacedClients.Outcome o = clients.outcome();
     double span = after.seconds(before);
     Map<String, Object> row = new LinkedHashMap<>();
+    row.put("seconds", rounded(span, 3));
     row.put("sent_per_s", rounded(o.sent() / span, 1));
     row.put("answered_per_s", rounded(o.answered() / span, 1));
     row.put("refused", o.refused());
--- a/lab/src/main/java/reachloom/lab/slopes/Measurement.java
+++ b/lab/src/main/java/reachloom/lab/slopes/Measurement.java
@@ -91,16 +91,24 @@
     return ((Number) row.get(key)).doubleValue();
   }
 
-  /** Whether a thread of the gateway had no time left, running or waiting for a processor. */
+  /** Whether the gateway turned statements away, or a thread of it had no time left, running or waiting. */
   private static boolean full(Map<String, Object> row) {
     return number(row, "cores_loop") > FULL || number(row, "cores_sockets") > FULL
+        || turnedAway(row) > little(row)
         || lags(row) && (number(row, "cores_loop") + number(row, "loop_waited") > FULL
             || number(row, "cores_sockets") + number(row, "sockets_waited") > FULL);
   }
 
+  private static double turnedAway(Map<String, Object> row) {
+    return (number(row, "refused") + number(row, "failed") + number(row, "unsent")) / number(row, "seconds");
+  }
+
+  private static double little(Map<String, Object> row) {
+    return Math.max(LEAST_LAG, LAGS * number(row, "sent_per_s"));
+  }
+
   private static boolean lags(Map<String, Object> row) {
-    double sent = number(row, "sent_per_s");
-    return sent - number(row, "answered_per_s") > Math.max(LEAST_LAG, LAGS * sent);
+    return number(row, "sent_per_s") - number(row, "answered_per_s") - turnedAway(row) > little(row);
   }
 
   /** Whether answers did not keep up though the gateway had time: the machine kept the rig from its work. */
