--- a/lab/src/main/java/reachloom/lab/slopes/Measurement.java
+++ b/lab/src/main/java/reachloom/lab/slopes/Measurement.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import reachloom.lab.slopes.PacedClients.Gaps;
 
 /** What is measured on gateways: sizes one after another in one run, what was counted, and the fits. */
@@ -16,7 +17,8 @@
   private static final int CONNECTIONS = 64; // that statements come on, where their number is not the size
   private static final int GATEWAYS = 580;
   private static final int ENGINES = 630;
-  private static final double ALL_OVER_S = 4; // whatever was open has been answered or given up by then
+  private static final int ALL_OVER_S = 4; // whatever was open has been answered or given up by then
+  private static final double STEP_S = 0.05;
   private static final double FULL = 0.9; // of a core, by one thread
   private static final double LAGS = 0.05; // of what was sent, or so many a second
   private static final double LEAST_LAG = 5;
@@ -67,13 +69,22 @@
       pause((double) wanted.warmS / SlopesCommand.CLASSES.size());
     }
     rig.clients().pace(0, "quick", Gaps.EVEN);
-    pause(ALL_OVER_S);
+    allOver(rig);
   }
 
   private static void pause(double seconds) throws InterruptedException {
     Thread.sleep((long) (seconds * 1_000));
   }
 
+  /** Waits until nothing is open any more, and a moment for what the gateway has still to do. */
+  private static void allOver(GatewayRig rig) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(ALL_OVER_S);
+    while (rig.clients().outstanding() > 0 && System.nanoTime() < until) {
+      pause(STEP_S);
+    }
+    pause(1);
+  }
+
   private Map<String, Object> row(String name, GatewayRig rig, double seconds)
       throws IOException, InterruptedException {
     Map<String, Object> row = rig.watch(seconds);
@@ -92,7 +103,7 @@
   }
 
   /** Whether the gateway turned statements away, or a thread of it had no time left, running or waiting. */
-  private static boolean full(Map<String, Object> row) {
+  static boolean full(Map<String, Object> row) {
     return number(row, "cores_loop") > FULL || number(row, "cores_sockets") > FULL
         || turnedAway(row) > little(row)
         || lags(row) && (number(row, "cores_loop") + number(row, "loop_waited") > FULL
@@ -112,7 +123,7 @@
   }
 
   /** Whether answers did not keep up though the gateway had time: the machine kept the rig from its work. */
-  private static boolean starved(Map<String, Object> row) {
+  static boolean starved(Map<String, Object> row) {
     return !full(row) && lags(row);
   }
 
@@ -165,7 +176,7 @@
             of.add(row(c + " " + rate + (wanted.rounds > 1 ? " round " + round : ""), rig, wanted.seconds));
           }
           rig.clients().pace(0, c, Gaps.EVEN);
-          pause(ALL_OVER_S);
+          allOver(rig);
           rows.computeIfAbsent(c, k -> new ArrayList<>()).add(of);
         }
       }
--- a/lab/src/main/java/reachloom/lab/slopes/PacedClients.java
+++ b/lab/src/main/java/reachloom/lab/slopes/PacedClients.java
@@ -258,6 +258,11 @@
     });
   }
 
+  /** How many statements have no answer yet. */
+  int outstanding() throws InterruptedException {
+    return on(() -> conns.stream().mapToInt(c -> c.open.size()).sum());
+  }
+
   int defects() {
     return time.defects();
   }
