--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -19,6 +19,8 @@
 /** Measures gossip: crashes, joins, loss, liars and sick engines. */
 public final class GossipCommand implements Command {
   private static final long MILLISECOND = 1_000_000; // nanoseconds
+  private static final int MOST_VIRTUAL_ENGINES = 1_000;
+  private static final int MOST_ENGINES = 200; // on sockets: each is a listener in this process
 
   @Override
   public String purpose() {
@@ -63,16 +65,15 @@
           + "' is none of one, all, friend, flap, praise");
     }
     int instances = Arguments.number(line, "instances", 8, 4, 1_000);
-    int engines = Arguments.number(line, "engines", 0, 0, 200);
     if (mode.equals("sockets")) {
-      return sockets(line, engines);
+      return sockets(line, Arguments.number(line, "engines", 0, 0, MOST_ENGINES));
     }
+    int engines = Arguments.number(line, "engines", 0, 0, MOST_VIRTUAL_ENGINES);
     Plan plan = new Plan(instances, engines, Arguments.number(line, "gateways-down", 1, 0, instances - 4),
         Arguments.number(line, "sick", 0, 0, engines), Arguments.number(line, "liars", 0, 0, instances),
         line.hasOption("collude"), lie, Arguments.share(line, "loss", 0), Arguments.share(line, "slow", 0),
         Arguments.number(line, "join", 0, 0, 1_000), Arguments.number(line, "seconds", 60, 1, 3_600),
-        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE),
-        Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE), Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
         Arguments.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND,
         Arguments.number(line, "rate", 20, 1, 2_000));
     return tell(line, mode, plan, new VirtualRun(plan).play());
--- a/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
+++ b/lab/src/main/java/reachloom/lab/gossip/VirtualCluster.java
@@ -62,8 +62,12 @@
     /** Hears of engines that others speak against. */
     public BiConsumer<String, Double> hearsay = (engine, level) -> { };
     public long mostBytes;
+    /** All that it sent so far, headers of UDP and IP counted, and in how many datagrams. */
     public long bytes;
-    public long received;
+    public long datagrams;
+    /** What it took; what was lost on the way, or while it stood still, is not counted. */
+    public long receivedBytes;
+    public long receivedDatagrams;
     private long seq;
     private int life;
 
@@ -121,6 +125,7 @@
       }
       mostBytes = Math.max(mostBytes, latelyBytes);
       bytes += size;
+      datagrams++;
     }
   }
 
@@ -226,7 +231,8 @@
       }
       return;
     }
-    to.received += bytes.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
+    to.receivedBytes += bytes.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
+    to.receivedDatagrams++;
     try {
       byte[] whole = java.util.Arrays.copyOf(bytes, bytes.length + GossipCodec.SIGNATURE);
       var head = GossipCodec.head(whole);
--- a/lab/src/main/java/reachloom/lab/slopes/Measurement.java
+++ b/lab/src/main/java/reachloom/lab/slopes/Measurement.java
@@ -117,6 +117,10 @@
         points.add(new Fit.Point(sizes[i], number(row, key) * scale, full(row)));
       }
     }
+    if (points.stream().mapToDouble(Fit.Point::size).distinct().count() < 2) {
+      System.err.println(name + ": no line, less than two sizes can be used");
+      return;
+    }
     Fit fit = Fit.of(points);
     Map<String, Object> told = new LinkedHashMap<>();
     told.put("a", fit.a());
