--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -47,7 +47,8 @@
 
   private static final long MILLI = 1_000_000; // nanoseconds
   private static final long SECOND = 1_000 * MILLI;
-  private static final int FANOUT = 3; // members of the own zone that are told at once, and again a wave later
+  /** Members of the own zone that are told at once, and again a wave later. */
+  private static final int FANOUT = 3;
   private static final int WAVES = 2; // with 3 each, one of 400 is not told by anybody
   private static final int ISSUE_WAVES = 3; // members of each place that the issuing issuer tells, one a wave
   private static final long WAVE = 100 * MILLI; // long enough to hear from some who know it already
@@ -198,7 +199,8 @@
       } else if (w instanceof Word.Piece p && !liar) {
         piece(now, sender, p);
       } else if (w instanceof Word.Acknowledgement a) {
-        changed |= neighbours.isOfZone(sender) && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
+        changed |= neighbours.isOfZone(sender)
+            && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
       } else if (w instanceof Word.Census c) {
         census(now, sender, c);
       }
@@ -221,7 +223,8 @@
       ask(now, sender, h.known());
     } else if (h.known() == newest) {
       pull.source(sender);
-    } else if (h.known() < newest && !busy() && (neighbours.isOfZone(sender) || issuer && now - learntAt > GRACE)) {
+    } else if (h.known() < newest && !busy()
+        && (neighbours.isOfZone(sender) || issuer && now - learntAt > GRACE)) {
       owe(now, sender);
     }
   }
@@ -314,7 +317,8 @@
 
   private void forked(long now, Revision r) {
     if (log.fork(r)) {
-      host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by " + r.issuer()
+      host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by "
+          + r.issuer()
           + " is not taken");
     }
   }
@@ -412,7 +416,8 @@
     }
     if (applying != null && !alarmed && now - applyingSince > APPLIED) {
       alarmed = true;
-      host.alarm(now, "revision " + applying.revision().number() + " is not in force after 30 s, nor refused");
+      host.alarm(now,
+          "revision " + applying.revision().number() + " is not in force after 30 s, nor refused");
     }
     seek(now);
     wave(now);
--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -136,7 +136,7 @@
     return drawn;
   }
 
-  /** That one did not do as it said, and is not asked for a time; {@code claimed} is what it did not prove. */
+  /** That one did not do as it said, and is not asked for a time; {@code claimed} is what is unproved. */
   void strike(long now, String name, Strike why, long claimed) {
     Rest r = resting.get(name);
     if (r == null) {
--- a/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
+++ b/lab/src/main/java/reachloom/lab/gossip/GossipCommand.java
@@ -73,7 +73,8 @@
         Arguments.number(line, "sick", 0, 0, engines), Arguments.number(line, "liars", 0, 0, instances),
         line.hasOption("collude"), lie, Arguments.share(line, "loss", 0), Arguments.share(line, "slow", 0),
         Arguments.number(line, "join", 0, 0, 1_000), Arguments.number(line, "seconds", 60, 1, 3_600),
-        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE), Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
+        Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE),
+        Arguments.number(line, "cap", 4_096, 1_024, 1 << 20),
         Arguments.number(line, "period-ms", 1_000, 100, 60_000) * MILLISECOND,
         Arguments.number(line, "rate", 20, 1, 2_000));
     return tell(line, mode, plan, new VirtualRun(plan).play());
