Choice takes the first engines with room in its own order instead of sorting all of them

Need: at 630 engines one gateway is full at about 650 statements a second of the 724 planned (load 27 to 53 on 8 cores); two thirds of a decision were copies and a sort of all engines with room (docs/measurements/capacity.md). The order changes with the list alone, so it is kept; the first with room are taken until enough are found, cold ones first, as before. Engines.update looks names up in a set. Cost after: not measured yet.

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -4,6 +4,7 @@
 
 import java.util.*;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import reachloom.spread.*;
 import reachloom.state.*;
 
@@ -97,6 +98,8 @@
   private double meanWorth;
   private Share share;
   private Subset subset;
+  /** Engines that are up, in this gateway's own order; it changes with the list alone. */
+  private List<Engine> inOrder = List.of();
   private double fleet; // gateways like this one that make up the fleet
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
   private double poolSigns = POOL_SIGNS; // nothing known: neither pressed nor calm
@@ -159,6 +162,7 @@
     Map<String, Integer> order = subset.order(up.stream().map(e -> new Subset.Place(e.name,
         e.cores)).toList());
     up.forEach(e -> e.place = order.get(e.name));
+    inOrder = up.stream().sorted(Comparator.comparingInt(e -> e.place)).toList();
     pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
     pool.memoryMb = up.stream().mapToDouble(e -> e.memoryMb).sum();
     pool.bound = pool.bound > 0 ? Math.min(pool.bound, mostThreads(pool)) : mostThreads(pool);
@@ -480,20 +484,31 @@
   }
 
   private List<Engine> candidates(long now, QueryRecord q) {
-    List<Engine> draw = engines.values().stream().filter(e -> hasRoom(now, q, e)).toList();
-    draw = preferred(draw, e -> !q.triedOn(e));
-    draw = preferred(draw, e -> e.hearsay < HEARSAY_TEST); // where another one has room, it goes there
-    draw = kept(now, draw);
-    return preferred(draw, e -> loadsThere(now, q, e) == 0);
-  }
-
-  /** The first of them in this gateway's own order, and more of them the more it has out. */
-  private List<Engine> kept(long now, List<Engine> draw) {
     double meanCores = pool.cores / Math.max(1, engines.size());
     int wanted = (int) Math.max(KEEP, Math.ceil(pool.threads / (meanCores * KEEP_SHARE)));
-    return draw.size() <= wanted ? draw
-        : draw.stream().sorted(Comparator.comparingInt(e -> now < e.coldUntil ? -1 : e.place)).limit(wanted)
-            .toList(); // few others may use a cold one's slot
+    // Where another one has room, it goes neither where it was nor where others speak against the engine.
+    Predicate<Engine> best = e -> e.hearsay < HEARSAY_TEST && !q.triedOn(e) && hasRoom(now, q, e);
+    List<Engine> draw = first(now, wanted + 1, best);
+    if (draw.size() <= wanted) {
+      Set<Engine> few = new LinkedHashSet<>(draw);
+      draw = few.isEmpty() ? second(now, q, wanted)
+          : engines.values().stream().filter(few::contains).toList();
+    }
+    return preferred(draw.size() > wanted ? draw.subList(0, wanted) : draw, e -> loadsThere(now, q, e) == 0);
+  }
+
+  /** So many in this gateway's own order, cold ones first: few others may use a cold one's slot. */
+  private List<Engine> first(long now, int count, Predicate<Engine> wanted) {
+    return Stream.concat(engines.values().stream().filter(e -> now < e.coldUntil),
+        inOrder.stream().filter(e -> now >= e.coldUntil)).filter(wanted).limit(count).toList();
+  }
+
+  /** Where none is as good as wanted: those with room where it was already, or that others speak against. */
+  private List<Engine> second(long now, QueryRecord q, int wanted) {
+    List<Engine> draw = engines.values().stream()
+        .filter(e -> (q.triedOn(e) || e.hearsay >= HEARSAY_TEST) && hasRoom(now, q, e)).toList();
+    draw = preferred(preferred(draw, e -> !q.triedOn(e)), e -> e.hearsay < HEARSAY_TEST);
+    return draw.size() <= wanted ? draw : first(now, wanted, new LinkedHashSet<>(draw)::contains);
   }
 
   /** Two by chance; a cold one with room is one of them, since its slot is short and few have part in it. */
--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -102,7 +103,7 @@
   /** Takes over what the list tells; a process that has started anew gets connections of its own. */
   void update(boolean whole, List<Member> members) {
     if (whole) {
-      List<String> named = members.stream().map(m -> m.info().name()).toList();
+      Set<String> named = members.stream().map(m -> m.info().name()).collect(Collectors.toSet());
       peers.forEach((name, peer) -> {
         if (!named.contains(name)) {
           peer.member = null;
