Issuers that start anew say so to counters that they don't hear

A counter that does not know that an issuer lost its certificate sends none, and is not heard: the issuer greets those from which nothing came for 4 s. ShapeTest, DisseminationTest, DeltaTest, RevisionLogTest and CouncilTest pass.

--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -47,7 +47,7 @@
 
   private static final long MILLI = 1_000_000; // nanoseconds
   private static final long SECOND = 1_000 * MILLI;
-  private static final int FANOUT = 3; // members of the own zone that are told at once, and again a wave later
+  private static final int FANOUT = 3; // members of the own zone that are told at once, and a wave later
   private static final int WAVES = 2; // with 3 each, one of 400 is not told by anybody
   private static final int ISSUE_WAVES = 3; // members of each place that the issuing issuer tells, one a wave
   private static final long WAVE = 100 * MILLI; // long enough to hear from some who know it already
@@ -187,6 +187,10 @@
       issuerHeard = true;
       issuerHeardAt = now;
     }
+    Other other = neighbours.get(sender.name());
+    if (other != null) {
+      other.heardAt = now;
+    }
     boolean liar = neighbours.isLiar(now, sender.name());
     for (Word w : words) {
       if (w instanceof Word.Have h) {
@@ -198,7 +202,8 @@
       } else if (w instanceof Word.Piece p && !liar) {
         piece(now, sender, p);
       } else if (w instanceof Word.Acknowledgement a) {
-        changed |= neighbours.isOfZone(sender) && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
+        changed |= neighbours.isOfZone(sender)
+            && counting.note(sender.name(), a.number(), a.mark(), a.refusal());
       } else if (w instanceof Word.Census c) {
         census(now, sender, c);
       }
@@ -221,7 +226,8 @@
       ask(now, sender, h.known());
     } else if (h.known() == newest) {
       pull.source(sender);
-    } else if (h.known() < newest && !busy() && (neighbours.isOfZone(sender) || issuer && now - learntAt > GRACE)) {
+    } else if (h.known() < newest && !busy()
+        && (neighbours.isOfZone(sender) || issuer && now - learntAt > GRACE)) {
       owe(now, sender);
     }
   }
@@ -314,8 +320,8 @@
 
   private void forked(long now, Revision r) {
     if (log.fork(r)) {
-      host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by " + r.issuer()
-          + " is not taken");
+      host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by "
+          + r.issuer() + " is not taken");
     }
   }
 
@@ -412,7 +418,8 @@
     }
     if (applying != null && !alarmed && now - applyingSince > APPLIED) {
       alarmed = true;
-      host.alarm(now, "revision " + applying.revision().number() + " is not in force after 30 s, nor refused");
+      host.alarm(now,
+          "revision " + applying.revision().number() + " is not in force after 30 s, nor refused");
     }
     seek(now);
     wave(now);
@@ -423,13 +430,26 @@
       censusAgain = now + CENSUS_AGAIN;
       issuers.forEach(i -> censusDue.add(i.name()));
     }
-    if (issuer && now >= censusAgain) { // so that one that was apart learns what it missed
+    if (issuer && now >= censusAgain) {
       censusAgain = now + CENSUS_AGAIN;
-      issuers.stream().filter(i -> !i.name().equals(name)).forEach(i -> tell(now, i, have()));
+      meet(now);
     }
     step(now);
   }
 
+  /**
+   * An issuer tells the others what it has, so that one that was apart learns what it missed; and counters
+   * from which it hears nothing: they may not know that it has started anew and can't prove who they are.
+   */
+  private void meet(long now) {
+    issuers.stream().filter(i -> !i.name().equals(name)).forEach(i -> tell(now, i, have()));
+    neighbours.places().forEach((where, there) -> {
+      List<String> names = there.stream().map(o -> o.peer.name()).toList();
+      Counting.counters(where, names).stream().map(neighbours::get)
+          .filter(o -> now - o.heardAt > 2 * CENSUS_AGAIN).forEach(o -> tell(now, o.peer, have()));
+    });
+  }
+
   /** This process stood still: nobody is to blame, and much may have happened. */
   private void woke(long now, long gap) {
     asked.clear();
--- a/decisions/src/main/java/reachloom/revision/Fetch.java
+++ b/decisions/src/main/java/reachloom/revision/Fetch.java
@@ -121,7 +121,8 @@
 
   private boolean take(long now, String sender, Word.Piece p, RevisionLog.Entry baseHeld) {
     boolean fits = p.number() == revision.number() && p.of() >= 1 && p.of() <= MOST_PIECES && p.index() >= 0
-        && p.index() < p.of() && p.bytes().length <= PIECE && (p.index() == p.of() - 1 || p.bytes().length > 0)
+        && p.index() < p.of() && p.bytes().length <= PIECE
+        && (p.index() == p.of() - 1 || p.bytes().length > 0)
         && (p.base() == 0 ? p.of() == pieces(revision.size()) : baseHeld != null && !deltaFailed);
     boolean fromPeer = from != null && sender.equals(from.name());
     boolean other = pieces.length == 0 || p.of() != of || p.base() != ofBase;
--- a/decisions/src/main/java/reachloom/revision/Neighbours.java
+++ b/decisions/src/main/java/reachloom/revision/Neighbours.java
@@ -16,6 +16,7 @@
   /** Another member that is present, with what its packets told. */
   static final class Other {
     final Peer peer;
+    long heardAt = Long.MIN_VALUE / 2;
     long known;
     long inForce;
     long mark;
@@ -136,7 +137,7 @@
     return drawn;
   }
 
-  /** That one did not do as it said, and is not asked for a time; {@code claimed} is what it did not prove. */
+  /** That one did not do as it said and is not asked for a time; {@code claimed}: what it did not prove. */
   void strike(long now, String name, Strike why, long claimed) {
     Rest r = resting.get(name);
     if (r == null) {
--- a/decisions/src/main/java/reachloom/revision/RevisionLog.java
+++ b/decisions/src/main/java/reachloom/revision/RevisionLog.java
@@ -6,8 +6,8 @@
 import java.util.TreeMap;
 
 /**
- * The newest revisions that are proved, with the documents that are held of them; which is in force; and those
- * that contradict them.
+ * The newest revisions that are proved, with the documents that are held of them; which is in force; and
+ * those that contradict them.
  */
 final class RevisionLog {
   /** What a proved revision is to what is held. */
@@ -116,7 +116,7 @@
     return entries.get(number);
   }
 
-  /** What was handed to the host is in force; it is held also where newer ones have driven it out meanwhile. */
+  /** What was handed to the host is in force; it is held also if newer ones have driven it out meanwhile. */
   void inForce(Entry e) {
     inForce = e;
     entries.putIfAbsent(e.revision.number(), e);
--- a/decisions/src/main/java/reachloom/revision/Sums.java
+++ b/decisions/src/main/java/reachloom/revision/Sums.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -13,7 +14,7 @@
   }
 
   private static final int MOST_PLACES = 256;
-  private static final int MOST_TELLERS = 4; // of a place: while members come and go there may be more than two
+  private static final int MOST_TELLERS = 4; // of a place: while members come and go there are more than two
   private static final long MEMORY = 60_000_000_000L; // nanoseconds
   private static final double SECOND = 1e9;
   private static final double MILLIS = 1e3; // in a second
@@ -30,7 +31,7 @@
     of.values().removeIf(t -> now - t.at > MEMORY);
     of.put(teller, new Told(census, now));
     if (of.size() > MOST_TELLERS) { // some counted only as long as they saw few others
-      of.remove(Collections.min(of.entrySet(), (a, b) -> Long.compare(a.getValue().at, b.getValue().at)).getKey());
+      of.remove(Collections.min(of.entrySet(), Comparator.comparingLong(e -> e.getValue().at)).getKey());
     }
   }
 
@@ -68,7 +69,8 @@
           && o.census.inForce() == c.inForce());
       lines.add(where + String.format(Locale.ROOT,
           "revision %d, members %d, in force %d, refused %d, lacking %s%s, told %.1f s ago%s", c.number(),
-          c.members(), c.inForce(), c.refused(), c.lacking().isEmpty() ? "none" : String.join(" ", c.lacking()),
+          c.members(), c.inForce(), c.refused(),
+          c.lacking().isEmpty() ? "none" : String.join(" ", c.lacking()),
           c.longest() == 0 ? "" : String.format(Locale.ROOT, " for %.1f s", c.longest() / MILLIS),
           (now - t.at) / SECOND, agreed ? "" : ", counters differ"));
     });
--- a/decisions/src/test/java/reachloom/revision/DeltaTest.java
+++ b/decisions/src/test/java/reachloom/revision/DeltaTest.java
@@ -31,7 +31,8 @@
   void nonsenseMakesNothing() {
     byte[] base = new byte[100];
     assertNull(Delta.apply(base, new byte[7]));
-    for (int[] ends : new int[][] {{-1, 0}, {0, -1}, {101, 0}, {60, 41}, {Integer.MAX_VALUE, 1}, {1, 1 << 31}}) {
+    int[][] nonsense = {{-1, 0}, {0, -1}, {101, 0}, {60, 41}, {Integer.MAX_VALUE, 1}, {1, 1 << 31}};
+    for (int[] ends : nonsense) {
       assertNull(Delta.apply(base, ByteBuffer.allocate(8).putInt(ends[0]).putInt(ends[1]).array()),
           Arrays.toString(ends));
     }
--- a/decisions/src/test/java/reachloom/revision/DisseminationTest.java
+++ b/decisions/src/test/java/reachloom/revision/DisseminationTest.java
@@ -250,8 +250,9 @@
     one.start();
     net.run(5);
     assertEquals(30, net.inForce(1));
-    assertTrue(net.members().get(5).it.lines(net.now).get(0).matches("revision 1 in force, newest known 1 since"
-        + " [0-9.]+ s, issuers heard [34][0-9]\\.[0-9] s ago"), net.members().get(5).it.lines(net.now).get(0));
+    String line = net.members().get(5).it.lines(net.now).get(0);
+    assertTrue(line.matches("revision 1 in force, newest known 1 since [0-9.]+ s, "
+        + "issuers heard [34][0-9]\\.[0-9] s ago"), line);
   }
 
   @Test
--- a/decisions/src/test/java/reachloom/revision/Net.java
+++ b/decisions/src/test/java/reachloom/revision/Net.java
@@ -294,7 +294,8 @@
 
   /** What the best informed issuer knows to be in force. */
   int told(Node issuer, long number) {
-    return issuer.it.censuses().stream().filter(c -> c.number() == number).mapToInt(Word.Census::inForce).sum();
+    return issuer.it.censuses().stream().filter(c -> c.number() == number).mapToInt(Word.Census::inForce)
+        .sum();
   }
 
 }
--- a/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
+++ b/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
@@ -398,7 +398,7 @@
       List<Member> control = control();
       for (int i = 0; i < control.size(); i++) {
         Member m = control.get(i);
-        cluster.agenda.at(start + time * (i == 0 ? 1 : i <= 2 ? 2 : 3) / 6, () -> stop(m));
+        cluster.agenda.at(start + time * Math.min(i + 1, 3) / 6, () -> stop(m));
         cluster.agenda.at(start + time * 4 / 6, () -> start(m));
       }
     }
