--- a/decisions/src/main/java/reachloom/revision/Dissemination.java
+++ b/decisions/src/main/java/reachloom/revision/Dissemination.java
@@ -47,8 +47,7 @@
 
   private static final long MILLI = 1_000_000; // nanoseconds
   private static final long SECOND = 1_000 * MILLI;
-  /** Members of the own zone that are told at once, and again a wave later. */
-  private static final int FANOUT = 3;
+  private static final int FANOUT = 3; // members of the own zone that are told at once, and a wave later
   private static final int WAVES = 2; // with 3 each, one of 400 is not told by anybody
   private static final int ISSUE_WAVES = 3; // members of each place that the issuing issuer tells, one a wave
   private static final long WAVE = 100 * MILLI; // long enough to hear from some who know it already
@@ -188,6 +187,10 @@
       issuerHeard = true;
       issuerHeardAt = now;
     }
+    Other other = neighbours.get(sender.name());
+    if (other != null) {
+      other.heardAt = now;
+    }
     boolean liar = neighbours.isLiar(now, sender.name());
     for (Word w : words) {
       if (w instanceof Word.Have h) {
@@ -318,8 +321,7 @@
   private void forked(long now, Revision r) {
     if (log.fork(r)) {
       host.alarm(now, "two revisions are proved that can't both be: number " + r.number() + " by "
-          + r.issuer()
-          + " is not taken");
+          + r.issuer() + " is not taken");
     }
   }
 
@@ -428,13 +430,26 @@
       censusAgain = now + CENSUS_AGAIN;
       issuers.forEach(i -> censusDue.add(i.name()));
     }
-    if (issuer && now >= censusAgain) { // so that one that was apart learns what it missed
+    if (issuer && now >= censusAgain) {
       censusAgain = now + CENSUS_AGAIN;
-      issuers.stream().filter(i -> !i.name().equals(name)).forEach(i -> tell(now, i, have()));
+      meet(now);
     }
     step(now);
   }
 
+  /**
+   * An issuer tells the others what it has, so that one that was apart learns what it missed; and counters
+   * from which it hears nothing: they may not know that it has started anew and can't prove who they are.
+   */
+  private void meet(long now) {
+    issuers.stream().filter(i -> !i.name().equals(name)).forEach(i -> tell(now, i, have()));
+    neighbours.places().forEach((where, there) -> {
+      List<String> names = there.stream().map(o -> o.peer.name()).toList();
+      Counting.counters(where, names).stream().map(neighbours::get)
+          .filter(o -> now - o.heardAt > 2 * CENSUS_AGAIN).forEach(o -> tell(now, o.peer, have()));
+    });
+  }
+
   /** This process stood still: nobody is to blame, and much may have happened. */
   private void woke(long now, long gap) {
     asked.clear();
--- a/decisions/src/main/java/reachloom/revision/RevisionLog.java
+++ b/decisions/src/main/java/reachloom/revision/RevisionLog.java
@@ -116,7 +116,7 @@
     return entries.get(number);
   }
 
-  /** What was handed to the host is in force; it is held also where newer ones have driven it out. */
+  /** What was handed to the host is in force; it is held also if newer ones have driven it out meanwhile. */
   void inForce(Entry e) {
     inForce = e;
     entries.putIfAbsent(e.revision.number(), e);
--- a/decisions/src/main/java/reachloom/revision/Sums.java
+++ b/decisions/src/main/java/reachloom/revision/Sums.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -13,8 +14,7 @@
   }
 
   private static final int MOST_PLACES = 256;
-  /** Of a place: while members come and go there may be more than two. */
-  private static final int MOST_TELLERS = 4;
+  private static final int MOST_TELLERS = 4; // of a place: while members come and go there are more than two
   private static final long MEMORY = 60_000_000_000L; // nanoseconds
   private static final double SECOND = 1e9;
   private static final double MILLIS = 1e3; // in a second
@@ -31,8 +31,7 @@
     of.values().removeIf(t -> now - t.at > MEMORY);
     of.put(teller, new Told(census, now));
     if (of.size() > MOST_TELLERS) { // some counted only as long as they saw few others
-      of.remove(Collections.min(of.entrySet(), (a, b) -> Long.compare(a.getValue().at, b.getValue().at))
-          .getKey());
+      of.remove(Collections.min(of.entrySet(), Comparator.comparingLong(e -> e.getValue().at)).getKey());
     }
   }
 
--- a/decisions/src/test/java/reachloom/revision/DisseminationTest.java
+++ b/decisions/src/test/java/reachloom/revision/DisseminationTest.java
@@ -251,8 +251,8 @@
     net.run(5);
     assertEquals(30, net.inForce(1));
     String line = net.members().get(5).it.lines(net.now).get(0);
-    assertTrue(line.matches("revision 1 in force, newest known 1 since"
-        + " [0-9.]+ s, issuers heard [34][0-9]\\.[0-9] s ago"), line);
+    assertTrue(line.matches("revision 1 in force, newest known 1 since [0-9.]+ s, "
+        + "issuers heard [34][0-9]\\.[0-9] s ago"), line);
   }
 
   @Test
