--- a/decisions/src/test/java/reachloom/revision/CouncilTest.java
+++ b/decisions/src/test/java/reachloom/revision/CouncilTest.java
@@ -483,6 +483,30 @@
     assertEquals(r, a.state().accepted());
   }
 
+  @Test
+  void withTheMembersOwnPartTwoSourcesDocumentsAreIssuedUnderLoss() {
+    int issued = 0;
+    for (int seed = 0; seed < 40; seed++) {
+      Issuers net = new Issuers(5, seed, true);
+      boolean large = seed % 2 == 0;
+      net.loss = large ? 0.02 : 0.3;
+      net.delay = 60 * MILLISECOND;
+      String one = "1".repeat(large ? Revision.MOST_DOCUMENT : 1_024);
+      String two = "2".repeat(large ? Revision.MOST_DOCUMENT : 1_024);
+      List<Result> first = net.node(1).propose(one);
+      List<Result> second = net.node(2).propose(two);
+      assertTrue(net.await(30 * SECOND, () -> over(first) && over(second) && net.agree()), "seed " + seed);
+      told(net, one, first);
+      told(net, two, second);
+      issued += (last(first) == Kind.ISSUED ? 1 : 0) + (last(second) == Kind.ISSUED ? 1 : 0);
+      net.node(1).crash();
+      net.node(1).start();
+      assertTrue(net.await(10 * SECOND, net::agree), "seed " + seed);
+      assertTrue(issue(net, 3, "next"), "seed " + seed);
+    }
+    assertEquals(80, issued);
+  }
+
   @Test
   void whateverHappensNoNumberHasTwoChains() {
     int issued = 0;
--- a/decisions/src/test/java/reachloom/revision/Issuers.java
+++ b/decisions/src/test/java/reachloom/revision/Issuers.java
@@ -75,11 +75,13 @@
   }
 
   /** One issuer's machine; its council is null while it is down. */
-  final class Node implements Library, Outlet {
+  final class Node implements Library, Outlet, Dissemination.Host {
     final String name;
     final Disk disk = new Disk();
     final Map<Long, byte[]> documents = new TreeMap<>();
     Council council;
+    /** Where it is the library, and not this one; else null. */
+    Dissemination it;
     Word.Notice newest;
     boolean standing;
     int life;
@@ -101,7 +103,13 @@
       documents.clear();
       newest = null;
       told = 0;
-      council = new Council(name, peers(), new Hashes(name), disk, this, this, random.split(), now);
+      if (real) {
+        it = new Dissemination(name, 1, true, peers(), Council.quorum(nodes.size()), new Hashes(name),
+            random.split(), this, this, now);
+        it.peers(peers().stream().filter(p -> !p.name().equals(name)).toList());
+      }
+      Library library = real ? it : this;
+      council = new Council(name, peers(), new Hashes(name), disk, library, this, random.split(), now);
     }
 
     void crash() {
@@ -137,7 +145,11 @@
     }
 
     private void tick() {
+      if (real) {
+        it.tick(now);
+      }
       council.tick(now);
+      look();
       if (now >= haveAt) {
         haveAt = now + HAVE;
         fetchNewest();
@@ -147,6 +159,12 @@
     }
 
     private void hear(Peer sender, List<Word> words) {
+      if (real) {
+        it.hear(now, sender, words);
+        council.hear(now, sender, words);
+        look();
+        return;
+      }
       for (Word w : words) {
         if (w instanceof Word.Have h && h.known() > number()) {
           tell(now, sender.name(), 0, List.of(new Word.Want(0, 0, 0, 0)));
@@ -159,6 +177,12 @@
       council.hear(now, sender, words);
     }
 
+    private void look() {
+      if (real && it.newest() != null) {
+        take(it.newest());
+      }
+    }
+
     private void take(Word.Notice n) {
       long good = n.votes().stream()
           .filter(v -> new Hashes("").proves(v.issuer(), n.revision().chain(), v.signature()))
@@ -172,7 +196,7 @@
     }
 
     private void fetchNewest() {
-      if (newest != null && document(newest.revision()) == null) {
+      if (!real && newest != null && document(newest.revision()) == null) {
         nodes.values().stream().filter(o -> o != this)
             .forEach(o -> fetchDraft(now, newest.revision(), o.peer(), got -> { }));
       }
@@ -195,7 +219,7 @@
 
     @Override
     public byte[] document(Revision revision) {
-      return documents.get(revision.mark());
+      return real ? it.document(revision) : documents.get(revision.mark());
     }
 
     @Override
@@ -245,12 +269,27 @@
       return 1_200;
     }
 
+    // ---- Dissemination's host ----
+
+    @Override
+    public void apply(long at, Revision revision, byte[] document) {
+      it.inForce(at, revision.number());
+    }
+
+    @Override
+    public void alarm(long at, String what) {
+      throw new AssertionError(what);
+    }
+
     @Override
     public boolean tell(long at, String to, long address, List<Word> words) {
       if (random.nextDouble() < refusing) {
         return false;
       }
-      List<Word> out = words.stream().filter(w -> !gagged.test(w)).toList();
+      List<Word> out = new ArrayList<>(words.stream().filter(w -> !gagged.test(w)).toList());
+      if (real) {
+        out.add(it.have());
+      }
       Peer me = peer();
       carry(this, nodes.get(to), () -> nodes.get(to).hear(me, out));
       return true;
@@ -264,6 +303,7 @@
       java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
   private final Map<String, List<Runnable>> waiting = new LinkedHashMap<>();
   private final List<String> cuts = new ArrayList<>();
+  private final boolean real;
   private long order;
   long now = START;
   double loss;
@@ -272,6 +312,12 @@
   long delay = 5 * MILLISECOND;
 
   Issuers(int count, long seed) {
+    this(count, seed, false);
+  }
+
+  /** With {@code real}, the members' own part is played by {@link Dissemination}. */
+  Issuers(int count, long seed, boolean real) {
+    this.real = real;
     random = new SplittableRandom(seed);
     for (int i = 1; i <= count; i++) {
       nodes.put("c" + i, new Node("c" + i));
