--- a/lab/src/main/java/reachloom/lab/scale/HollowPart.java
+++ b/lab/src/main/java/reachloom/lab/scale/HollowPart.java
@@ -14,9 +14,10 @@
 
 /**
  * Many hollow gateways in one process, a part of the scale run. It is told {@code start N RATE CONFIG
- * SETTINGS}, {@code kill N}, {@code terminate N} and {@code reload N ISSUE}. It tells
+ * SETTINGS}, {@code kill N}, {@code terminate N}, {@code reload N ISSUE} and {@code lacking COUNT}. It tells
  * {@code ready N MS EVENT}, {@code applied N ISSUE MS}, {@code list ENGINE STATE STARTED COUNT MS} for what
- * so many have been told by that time, and each second {@code usage MS LAG N:CPU:SENT:BYTES:RECEIVED:BYTES}.
+ * so many have been told by that time, {@code lacks N HAS} for those that were told fewer changes, and each
+ * second {@code usage MS LAG N:CPU:SENT:BYTES:RECEIVED:BYTES ...}.
  */
 final class HollowPart implements Part.Role, HollowGateway.Watcher {
   private static final long LIST_MS = 100;
@@ -64,6 +65,11 @@
           fresh.start();
         }
       }
+      case "lacking" -> gateways.forEach((n, of) -> {
+        if (of.held().size() < number) {
+          Child.say("lacks " + n + " " + of.held().size());
+        }
+      });
       case "reload" -> {
         if (g != null) {
           g.reload(words[2]);
--- a/lab/src/main/java/reachloom/lab/scale/ListWatch.java
+++ b/lab/src/main/java/reachloom/lab/scale/ListWatch.java
@@ -64,6 +64,11 @@
     heals.add(at);
   }
 
+  /** How many changes were announced. */
+  synchronized int count() {
+    return news.size();
+  }
+
   /** Whether some do not hold all. */
   synchronized boolean open(int gateways) {
     return news.values().stream().anyMatch(n -> count(n) < gateways);
--- a/lab/src/main/java/reachloom/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/reachloom/lab/scale/ScaleRun.java
@@ -45,6 +45,7 @@
   private static final int HOLLOW_HEAP_MB = 64; // and as much again for each gateway as measured
   private static final int HEAP_A_GATEWAY_MB = 10;
   private static final int READY_S = 120;
+  private static final long LAUNCH_GAP_MS = 20; // a process of so many has one machine's share to start with
   private static final long LOG_LOOK_MS = 50;
   /** The longest wait for a change log, its dial and the list, with as much again on a busy machine. */
   private static final long REDIAL = 2 * (Watch.MOST_SILENCE / 2 + Watch.DIAL_TIMEOUT);
@@ -254,6 +255,7 @@
     }
     for (int g = size.real; g < size.gateways; g++) {
       launch(g);
+      Thread.sleep(LAUNCH_GAP_MS);
     }
     ready.await(READY_S, TimeUnit.SECONDS);
     int joined = size.hollow() - (int) ready.getCount();
@@ -285,6 +287,8 @@
       }
       case "applied" -> inForce.applied(Integer.parseInt(words[1]), Long.parseLong(words[2]),
           Long.parseLong(words[3]));
+      case "lacks" -> System.err.println("gateway " + words[1] + " was told " + words[2] + " of "
+          + lists.count() + " changes of the list since its start");
       case "list" -> lists.held(host, words[1] + " " + words[2] + " " + words[3],
           Integer.parseInt(words[4]), Long.parseLong(words[5]));
       default -> meters.hollow(host, words);
@@ -319,7 +323,7 @@
         System.err.println("these lack a change of configuration: " + inForce.lacking());
       }
       if (lists.open(hollowUp())) {
-        System.err.println("some hollow gateways lack a change of the list");
+        hosts.forEach(h -> h.tell("lacking " + lists.count()));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
