--- a/lab/src/main/java/reachloom/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/reachloom/lab/scale/ScaleCommand.java
@@ -2,9 +2,11 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
@@ -15,6 +17,7 @@
 import reachloom.lab.rig.Plan;
 import reachloom.lab.rig.Script;
 import reachloom.lab.rig.Trouble;
+import reachloom.revision.Revision;
 
 /** Plays the installation at the size that is planned for, or smaller. */
 public final class ScaleCommand implements Command {
@@ -48,6 +51,10 @@
         .addOption(null, "cap", true, "gossip's bytes a second of each gateway (4096)")
         .addOption(null, "script", true, "a file, or one of " + Script.NAMED + " (steady)")
         .addOption(null, "mode", true, "sockets (the default) or virtual: the control part in simulated time")
+        .addOption(null, "changes", true, "simulated: revisions that are issued (20)")
+        .addOption(null, "loss", true, "simulated: share of datagrams that are lost (0.02)")
+        .addOption(null, "control-cap", true, "simulated: bytes a second of each control machine (1966080)")
+        .addOption(null, "document", true, "simulated: bytes of the configuration (2000)")
         .addOption(null, "jar", true, "the program (the one built beside the laboratory)")
         .addOption(null, "heap-mb", true, "heap of each real gateway (24)")
         .addOption(null, "seed", true, "for all that is drawn (1)")
@@ -87,11 +94,30 @@
     origin.put("mode", mode);
     return switch (mode) {
       case "sockets" -> sockets(line, size, script, origin);
-      case "virtual" -> throw new ParseException("--mode: virtual is not built in");
+      case "virtual" -> virtual(line, size, script.name(), origin);
       default -> throw new ParseException("--mode: '" + mode + "' is neither virtual nor sockets");
     };
   }
 
+  /** The control part alone, in simulated time; its scripts are those of the same names. */
+  private static int virtual(CommandLine line, ScaleRun.Size size, String script, Map<String, Object> origin)
+      throws Exception {
+    VirtualControl.Trouble trouble;
+    try {
+      trouble = VirtualControl.Trouble.valueOf(script.toUpperCase(Locale.ROOT).replace('-', '_'));
+    } catch (IllegalArgumentException e) {
+      throw new ParseException("--script: " + script + " is not played in simulated time; "
+          + Arrays.toString(VirtualControl.Trouble.values()).toLowerCase(Locale.ROOT).replace('_', '-'));
+    }
+    VirtualControl.Plan plan = new VirtualControl.Plan(size.gateways(), size.regions(), size.zones(),
+        size.control(), size.seconds(), Arguments.number(line, "changes", 20, 1, 10_000), size.seed(),
+        Arguments.share(line, "loss", 0.02), Arguments.number(line, "cap", 17_000, 1_024, 1 << 20),
+        Arguments.number(line, "control-cap", 1_966_080, 1_024, 1 << 24),
+        Arguments.number(line, "document", 2_000, 100, Revision.MOST_DOCUMENT), trouble);
+    origin.put("plan", plan);
+    return Figures.tell(line, origin, new VirtualControl(plan).play());
+  }
+
   private static int sockets(CommandLine line, ScaleRun.Size size, Script script,
       Map<String, Object> origin) throws Exception {
     if (size.rate() < PLANNED_RATE) {
