--- a/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
+++ b/lab/src/main/java/reachloom/lab/scale/VirtualControl.java
@@ -272,7 +272,7 @@
     long start = cluster.agenda.now();
     long end = start + plan.seconds * SECOND;
     for (int i = 0; i < plan.changes; i++) {
-      cluster.agenda.at(start + (end - start) * i / plan.changes, this::issue);
+      cluster.agenda.at(start + (end - start) * (2L * i + 1) / (2L * plan.changes), this::issue);
     }
     trouble(start, end - start);
     run(end, true);
@@ -445,11 +445,14 @@
     f.put("config_in_force_s_p99", share(inForce, 0.99));
     f.put("config_in_force_s_max", share(inForce, 1));
     f.put("config_never", gateways().stream().filter(m -> m.node.up && m.newest < newest).count());
-    List<Double> known = changes.values().stream().filter(c -> c.knownAt > 0)
+    List<Double> knownAfter = changes.values().stream().filter(c -> c.knownAt > 0)
         .map(c -> (c.knownAt - c.at) / (double) SECOND).toList();
-    f.put("config_known", known.size());
-    f.put("config_known_s_p50", share(known, 0.5));
-    f.put("config_known_s_max", share(known, 1));
+    f.put("config_known", knownAfter.size());
+    f.put("config_known_s_p50", share(knownAfter, 0.5));
+    f.put("config_known_s_max", share(knownAfter, 1));
+    Change last = changes.isEmpty() ? null : changes.lastEntry().getValue();
+    boolean known = last != null && last.knownAt > 0;
+    f.put("newest_known_s", known ? (last.knownAt - last.at) / (double) SECOND : -1);
     f.put("restarted_in_force_s_max", share(afterRestart, 1));
     f.put("behind_after_heal_s_max", share(afterHeal, 1));
     f.put("control_bytes_per_s_p99", share(sent, 0.99));
--- a/lab/src/test/java/reachloom/lab/scale/VirtualControlTest.java
+++ b/lab/src/test/java/reachloom/lab/scale/VirtualControlTest.java
@@ -33,6 +33,7 @@
     assertTrue(figure(f, "config_in_force_s_max") <= AIM, f.toString());
     assertTrue(figure(f, "behind_after_heal_s_max") <= AIM, f.toString());
     assertTrue(figure(f, "restarted_in_force_s_max") <= AIM, f.toString());
+    assertTrue(figure(f, "newest_known_s") >= 0 && figure(f, "newest_known_s") <= AIM, f.toString());
     assertTrue(figure(f, "control_bytes_per_s_max") <= CAP, f.toString());
     assertTrue(figure(f, "changes_issued") >= (trouble == Trouble.CONTROL_LOST ? 7 : 12), f.toString());
   }
