--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -135,6 +135,11 @@
     }
   }
 
+  /** Waits, twice that long at most, until the good-bye has gone out and the port is free again. */
+  public void awaitClosed(long ms) throws InterruptedException {
+    port.awaitClosed(ms);
+  }
+
   public Gossip gossip() {
     return gossip;
   }
--- a/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
@@ -11,6 +11,7 @@
 import java.nio.channels.DatagramChannel;
 import java.security.GeneralSecurityException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -40,6 +41,7 @@
   private final Consumer<Doorway.Entered> entered;
   private final ArrayBlockingQueue<Out> out = new ArrayBlockingQueue<>(MOST_OUT);
   private final AtomicLong dropped = new AtomicLong();
+  private final List<Thread> threads;
   private volatile Identity identity;
 
   GossipPort(InetSocketAddress listen, Doorway doorway, Identity identity, LongSupplier clock,
@@ -51,14 +53,14 @@
     channel = DatagramChannel.open();
     channel.setOption(java.net.StandardSocketOptions.SO_RCVBUF, SOCKET_BUFFER);
     channel.bind(listen);
-    start("gossip in", this::read);
-    start("gossip out", this::write);
+    threads = List.of(start("gossip in", this::read), start("gossip out", this::write));
   }
 
-  private static void start(String name, Runnable work) {
+  private static Thread start(String name, Runnable work) {
     Thread t = new Thread(work, name);
     t.setDaemon(true);
     t.start();
+    return t;
   }
 
   void identity(Identity next) {
@@ -125,6 +127,13 @@
     }
   }
 
+  /** Waits, each thread for so long at most, until the port is free again: both are done with it. */
+  void awaitClosed(long ms) throws InterruptedException {
+    for (Thread t : threads) {
+      t.join(ms);
+    }
+  }
+
   private void shut() {
     try {
       channel.close();
--- a/gateway/src/main/java/reachloom/revision/net/IssuerServer.java
+++ b/gateway/src/main/java/reachloom/revision/net/IssuerServer.java
@@ -28,6 +28,7 @@
   private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final long TICK = 50 * MILLISECOND;
   private static final long LOOK = 100 * MILLISECOND;
+  private static final long CLOSE_MS = 1_000; // for the last datagrams
   private static final long STATUS = 250 * MILLISECOND;
 
   private final String settingsFile;
@@ -98,6 +99,11 @@
       status();
     });
     loop.run();
+    try {
+      node.awaitClosed(CLOSE_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     store.close();
     stopped.countDown();
   }
