--- a/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipPort.java
@@ -11,6 +11,7 @@
 import java.nio.channels.DatagramChannel;
 import java.security.GeneralSecurityException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -44,6 +45,7 @@
   private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicLong received = new AtomicLong();
   private final AtomicLong receivedBytes = new AtomicLong();
+  private final List<Thread> threads;
   private volatile Identity identity;
 
   GossipPort(InetSocketAddress listen, Doorway doorway, Identity identity, LongSupplier clock,
@@ -55,14 +57,14 @@
     channel = DatagramChannel.open();
     channel.setOption(java.net.StandardSocketOptions.SO_RCVBUF, SOCKET_BUFFER);
     channel.bind(listen);
-    start("gossip in", this::read);
-    start("gossip out", this::write);
+    threads = List.of(start("gossip in", this::read), start("gossip out", this::write));
   }
 
-  private static void start(String name, Runnable work) {
+  private static Thread start(String name, Runnable work) {
     Thread t = new Thread(work, name);
     t.setDaemon(true);
     t.start();
+    return t;
   }
 
   void identity(Identity next) {
@@ -145,6 +147,13 @@
     out.offer(LAST); // ends the thread that waits for something to sign
   }
 
+  /** Waits, each thread for so long at most, until the port is free again: both are done with it. */
+  void awaitClosed(long ms) throws InterruptedException {
+    for (Thread t : threads) {
+      t.join(ms);
+    }
+  }
+
   private void shut() {
     try {
       channel.close();
