--- a/lab/src/main/java/reachloom/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/reachloom/lab/scale/ScaleCommand.java
@@ -53,7 +53,7 @@
         .addOption(null, "mode", true, "sockets (the default) or virtual: the control part in simulated time")
         .addOption(null, "changes", true, "simulated: revisions that are issued (20)")
         .addOption(null, "loss", true, "simulated: share of datagrams that are lost (0.02)")
-        .addOption(null, "control-cap", true, "simulated: bytes a second of each control machine (1966080)")
+        .addOption(null, "control-cap", true, "simulated: bytes a second of each control machine (1048576)")
         .addOption(null, "document", true, "simulated: bytes of the configuration (2000)")
         .addOption(null, "jar", true, "the program (the one built beside the laboratory)")
         .addOption(null, "heap-mb", true, "heap of each real gateway (24)")
@@ -112,7 +112,7 @@
     VirtualControl.Plan plan = new VirtualControl.Plan(size.gateways(), size.regions(), size.zones(),
         size.control(), size.seconds(), Arguments.number(line, "changes", 20, 1, 10_000), size.seed(),
         Arguments.share(line, "loss", 0.02), Arguments.number(line, "cap", 17_000, 1_024, 1 << 20),
-        Arguments.number(line, "control-cap", 1_966_080, 1_024, 1 << 24),
+        Arguments.number(line, "control-cap", 1 << 20, 1_024, 1 << 20),
         Arguments.number(line, "document", 2_000, 100, Revision.MOST_DOCUMENT), trouble);
     origin.put("plan", plan);
     return Figures.tell(line, origin, new VirtualControl(plan).play());
