--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -53,9 +54,19 @@
     this(folder, text, List.of(), words);
   }
 
+  /** Starts a gateway with that configuration and further variables in its environment. */
+  public GatewayProcess(Path folder, String text, Map<String, String> environment) throws IOException {
+    this(folder, text, environment, List.of(), List.of());
+  }
+
   /** Starts a gateway by a command that those words begin, as a shell's that replaces itself by the rest. */
   public GatewayProcess(Path folder, String text, List<String> before, List<String> words)
       throws IOException {
+    this(folder, text, Map.of(), before, words);
+  }
+
+  private GatewayProcess(Path folder, String text, Map<String, String> environment, List<String> before,
+      List<String> words) throws IOException {
     Matcher address = Pattern.compile("\"listen\":\"([0-9.]+):([0-9]+)\"").matcher(text);
     if (!address.find()) {
       throw new IllegalArgumentException("no address to listen at");
@@ -65,15 +76,15 @@
     log = folder.resolve("log" + System.nanoTime());
     List<String> all = new ArrayList<>(List.of("serve"));
     all.addAll(words);
-    process = start(config, log, before, all);
+    process = start(config, log, environment, before, all);
   }
 
   public static Process start(Path config, Path log, String... words) throws IOException {
-    return start(config, log, List.of(), List.of(words));
+    return start(config, log, Map.of(), List.of(), List.of(words));
   }
 
-  private static Process start(Path config, Path log, List<String> before, List<String> words)
-      throws IOException {
+  private static Process start(Path config, Path log, Map<String, String> environment, List<String> before,
+      List<String> words) throws IOException {
     List<String> command = new ArrayList<>(before);
     command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
         "-cp", System.getProperty("java.class.path"), "reachloom.Main"));
@@ -82,6 +93,7 @@
         .redirectOutput(log.toFile());
     builder.environment().keySet().removeIf(k -> k.startsWith("LB_"));
     builder.environment().put("LB_CONFIG", config.toString());
+    builder.environment().putAll(environment);
     return builder.start();
   }
 
