The loop's clock runs on in real time, whatever becomes of the wall clock

Cause: gateway.Clock gave the wall clock's time, kept from going back. After a step back it stood still, and with it the window for repeats, holding, deadlines and all timers; after a step forward all of them ran out. The class of defect is a span measured on a clock that may be stepped. Change: time.MonotonicClock is read from the wall clock once and runs on with the monotonic clock; the rate limit of log lines likewise; the write time-out of the sockets' library, which is measured on the wall clock, is off, as the gateway has bounds of its own. New log lines: steps of the wall clock, attempts that end unserved, repeats, answers that are no result, connections that go with requests open, each with its reason.

--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -115,7 +115,7 @@
       peer.member = m.info().state() == EngineState.GONE ? null : m;
       for (Link l : List.copyOf(peer.links)) {
         if (l.since < m.info().since()) {
-          close(l, false);
+          close(l, false, "the engine has started anew");
         }
       }
     }
@@ -126,7 +126,8 @@
       }
     }
     List.copyOf(peers.values()).stream().filter(p -> p.member == null)
-        .forEach(p -> List.copyOf(p.links).stream().filter(Link::unused).forEach(l -> close(l, false)));
+        .forEach(p -> List.copyOf(p.links).stream().filter(Link::unused)
+            .forEach(l -> close(l, false, "the engine is gone")));
     peers.values().removeIf(p -> p.member == null && p.links.isEmpty());
   }
 
@@ -318,13 +319,13 @@
     l.dial = loop.deadlines().add(loop.now() + transport.dialTimeout(), () -> {
       LOG.log(Level.INFO, "engine {0} at {1}: no connection in time", l.engine, address);
       Sockets.giveUp(future);
-      close(l, true);
+      close(l, true, "no connection in time");
     });
     future.addListener(f -> {
       if (!future.isConnected()) {
         loop.post(0, () -> {
           LOG.log(Level.DEBUG, "engine {0} at {1}: {2}", l.engine, address, future.getException());
-          close(l, true);
+          close(l, true, "the dial failed");
         });
       }
     });
@@ -356,19 +357,20 @@
     }
     Peer peer = peers.get(l.engine);
     if (peer == null || peer.member == null) {
-      close(l, false);
+      close(l, false, "the engine is gone");
       return;
     }
     touch(l);
     l.idle = loop.deadlines().add(loop.now() + (long) (transport.keepalive() * IDLE_SHARE),
-        () -> close(l, false));
+        () -> close(l, false, "idle"));
   }
 
   /**
    * Ends a connection: what is open on it ends as far as it has come. Where the connection has not ended by
-   * itself, what waits to be written still goes out, so nothing handed to it is proved never to have run.
+   * itself, what waits to be written still goes out, so nothing handed to it is proved never to have run. The
+   * reason is for the log.
    */
-  private void close(Link l, boolean hasEnded) {
+  private void close(Link l, boolean hasEnded, String why) {
     if (l.closed) {
       return;
     }
@@ -388,6 +390,10 @@
     }
     List<Attempt> open = List.copyOf(l.open.values());
     List<String> tags = List.copyOf(l.probes.keySet());
+    if (!open.isEmpty()) {
+      LOG.log(Level.INFO, "engine {0}: a connection goes with {1} requests open: {2}", l.engine, open.size(),
+          why);
+    }
     l.open.clear();
     l.waiting.clear();
     toHandOver.remove(l);
@@ -451,7 +457,7 @@
       loop.post(0, () -> {
         Link l = table.get(handle);
         if (l != null) {
-          close(l, false);
+          close(l, false, "it sent what can't be read");
         }
       });
     }
@@ -462,7 +468,7 @@
       loop.post(0, () -> {
         Link l = table.get(handle);
         if (l != null) {
-          close(l, true);
+          close(l, true, "it has ended");
         }
       });
     }
@@ -554,7 +560,7 @@
    */
   private void spoilt(Link l, String what) {
     LOG.log(Level.WARNING, "engine {0} sent {1}; its connection is closed", l.engine, what);
-    close(l, false);
+    close(l, false, "it sent what can't be passed on");
   }
 
   private void note(Attempt a, NodeAnswer answer) {
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -195,7 +195,7 @@
     closed = true;
     closing.allAtOnce();
     sockets.unbind();
-    clients.all().forEach(this::hangUp);
+    clients.all().forEach(c -> hangUp(c, "the gateway stops"));
   }
 
   /** Ends all connections at once, as the end of the process would: for many gateways in one process. */
@@ -314,7 +314,7 @@
       loop.post(0, () -> {
         Client c = client(session);
         if (c != null) {
-          hangUp(c);
+          hangUp(c, "it sent what can't be read");
         }
       });
     }
@@ -325,6 +325,7 @@
         Client c = client(session);
         if (c != null) {
           clients.remove(c);
+          tellOfClose(c, "it has ended");
           List.copyOf(c.open.values()).forEach(Gateway.this::left);
         }
       });
@@ -338,12 +339,21 @@
   private void sweep() {
     long now = loop.now();
     for (Client c = overdue(now); c != null && closing.hasRoom(); c = overdue(now)) {
-      hangUp(c);
+      hangUp(c, "it rests, or stays silent");
     }
     engines.sweep();
+    tellOfWallClock();
     loop.deadlines().add(now + SWEEP, this::sweep);
   }
 
+  private void tellOfWallClock() {
+    long step = loop.wallClockStep();
+    if (step != 0) {
+      LOG.log(Level.WARNING, "the wall clock was stepped by {0} ms; all spans of time run on as they were",
+          Long.toString(step / MILLISECOND));
+    }
+  }
+
   private Client overdue(long now) {
     return clients.overdue(now - MOST_SILENCE, now - mostIdle);
   }
@@ -366,16 +376,25 @@
   private void makeRoom() {
     Client other = clients.size() > mostClients ? clients.inTheWay(loop.now() - FIRST_WORDS) : null;
     if (other != null) {
-      hangUp(other);
+      hangUp(other, "it makes room for others");
     }
   }
 
-  private void hangUp(Client c) {
+  private void hangUp(Client c, String why) {
     clients.remove(c);
+    tellOfClose(c, why);
     closing.end(c.session);
     List.copyOf(c.open.values()).forEach(this::left);
   }
 
+  /** Tells of a client's connection that goes with requests open on it: nobody gets their answers. */
+  private static void tellOfClose(Client c, String why) {
+    if (!c.open.isEmpty()) {
+      LOG.log(Level.INFO, "client {0} goes with {1} requests open: {2}", c.session.getRemoteAddress(),
+          c.open.size(), why);
+    }
+  }
+
   private Client client(IoSession session) {
     Long handle = (Long) session.getAttribute(CLIENT);
     return handle == null ? null : clients.get(handle);
@@ -455,6 +474,7 @@
       return;
     }
     LOG.log(Level.INFO, "request {0} ends unserved: {1}", r.id, why);
+    RequestLog.unserved(r, r.attempts.isEmpty() ? "refused" : "failed", loop.now());
     answer(r, r.attempts.isEmpty() ? ThriftWriter.busy(r.seq) : ThriftWriter.failed(r.seq));
     tell(() -> module.leave(loop.now(), r.id));
     for (Attempt a : List.copyOf(r.attempts)) {
@@ -551,6 +571,7 @@
     r.out--;
     long now = loop.now();
     boolean served = outcome == Outcome.SERVED;
+    RequestLog.ended(a, outcome, now - a.sentAt);
     AttemptEnd end = new AttemptEnd(r.id, a.number, a.engine, outcome, now - a.sentAt, r.over,
         served ? a.costMs : 0, served ? a.memoryMb : 0, a.report);
     a.pages.clear();
@@ -591,6 +612,9 @@
       loop.later(() -> finish(a, Outcome.NOT_SENT));
       return;
     }
+    if (a.number > 0) {
+      RequestLog.repeated(r, a, now);
+    }
     a.timeout = loop.deadlines().add(until, () -> finish(a, a.reach().expired));
     engines.send(a);
   }
@@ -614,18 +638,19 @@
 
   @Override
   public void refuse(String query, long retryAfter) {
-    conclude(query, r -> ThriftWriter.busy(r.seq));
+    conclude(query, "refused", r -> ThriftWriter.busy(r.seq));
   }
 
   @Override
   public void fail(String query) {
-    conclude(query, r -> ThriftWriter.failed(r.seq));
+    conclude(query, "failed", r -> ThriftWriter.failed(r.seq));
   }
 
   /** The module's final answer; one that comes after another changes nothing. */
-  private void conclude(String query, Function<Request, ByteBuffer> words) {
+  private void conclude(String query, String answer, Function<Request, ByteBuffer> words) {
     Request r = byId.get(query);
     if (r != null && !r.over) {
+      RequestLog.unserved(r, answer, loop.now());
       answer(r, words.apply(r));
       drop(r);
     }
--- a/gateway/src/main/java/reachloom/gateway/Loop.java
+++ b/gateway/src/main/java/reachloom/gateway/Loop.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.Semaphore;
 import reachloom.gateway.tables.Deadlines;
+import reachloom.time.MonotonicClock;
 
 /**
  * The one thread that owns all state. It runs what other threads hand it, in the order in which they did, and
@@ -24,7 +25,7 @@
   private record Task(Runnable action, int bytes, boolean first) {
   }
 
-  private final Clock clock = new Clock();
+  private final MonotonicClock clock = new MonotonicClock();
   private final Deadlines deadlines = new Deadlines();
   private final Handover<Task> queue = new Handover<>();
   private final Semaphore room = new Semaphore(MOST_WAITING);
@@ -32,11 +33,16 @@
   private Runnable atTurnEnd = () -> { };
   private volatile boolean ended;
 
-  /** The present time on the Unix clock, in nanoseconds. */
+  /** The present time in nanoseconds; real time passes on it, whatever becomes of the wall clock. */
   public long now() {
     return clock.now();
   }
 
+  /** By how much the wall clock was stepped since this was last asked, in nanoseconds; 0 for not. */
+  public long wallClockStep() {
+    return clock.wallClockStep();
+  }
+
   /** All deadlines and timers; for the loop's own thread. */
   public Deadlines deadlines() {
     return deadlines;
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
@@ -2,9 +2,9 @@
 
 import java.io.PrintStream;
 import java.text.MessageFormat;
-import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ResourceBundle;
+import reachloom.time.WallClock;
 
 /**
  * Writes log lines to standard error, one each, at once. The platform's own logging resets itself as soon as
@@ -12,7 +12,7 @@
  */
 public final class LineLogger extends System.LoggerFinder {
   private static final PrintStream ERR = System.err;
-  private static final long SPAN_MS = 1_000;
+  private static final long SPAN = 1_000_000_000; // nanoseconds
   /** Lines of one class in a span: a flood of faults must not flood the log, nor cost its CPU. */
   private static final int MOST_LINES = 10;
 
@@ -20,7 +20,7 @@
   public System.Logger getLogger(String name, Module module) {
     String shortName = name.substring(name.lastIndexOf('.') + 1);
     return new System.Logger() {
-      private long spanFrom;
+      private long spanFrom = System.nanoTime();
       private int lines;
 
       @Override
@@ -50,8 +50,8 @@
       }
 
       private synchronized boolean room() {
-        long now = System.currentTimeMillis();
-        if (now - spanFrom >= SPAN_MS || now < spanFrom) {
+        long now = System.nanoTime();
+        if (now - spanFrom >= SPAN) {
           int left = lines - MOST_LINES;
           spanFrom = now;
           lines = 0;
@@ -63,7 +63,7 @@
       }
 
       private void write(Level level, String message, Throwable thrown) {
-        StringBuilder line = new StringBuilder().append(Instant.now().truncatedTo(ChronoUnit.MILLIS))
+        StringBuilder line = new StringBuilder().append(WallClock.instant().truncatedTo(ChronoUnit.MILLIS))
             .append(' ').append(level.getName()).append(' ').append(shortName).append(": ")
             .append(message.replaceAll("[\\r\\n]", " "));
         synchronized (ERR) {
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -182,6 +182,9 @@
     config.setMinReadBufferSize(LEAST_READ);
     config.setReadBufferSize(FIRST_READ);
     config.setMaxReadBufferSize(MOST_READ);
+    // The library measures it on the wall clock, and ends all that wait to write once that goes forward.
+    // Who takes nothing is ended by bounds of the gateway: on unsent answers and on rest.
+    config.setWriteTimeout(0);
   }
 
   /** Puts bytes on a connection. */
--- a/gateway/src/test/java/reachloom/gateway/NotingEngine.java
+++ b/gateway/src/test/java/reachloom/gateway/NotingEngine.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import reachloom.standin.NodeStandIn;
+import reachloom.time.MonotonicClock;
 
 /** An engine that notes each line with the time at which it was read, and serves what it is not to hold. */
 final class NotingEngine implements AutoCloseable {
@@ -24,7 +25,7 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
   private final String heldClass;
-  private final Clock clock = new Clock();
+  private final MonotonicClock clock = new MonotonicClock();
 
   /** An engine that never answers that class, and all others with {@link #PAGES} pages. */
   NotingEngine(String heldClass) throws IOException {
--- a/gateway/src/test/java/reachloom/gateway/SteppedClockTest.java
+++ b/gateway/src/test/java/reachloom/gateway/SteppedClockTest.java
@@ -125,4 +125,24 @@
       assertEquals(NodeStandIn.ROW, client.reply().body());
     }
   }
+
+  @Test
+  void aClientThatReadsLateStillGetsAllItsAnswersAfterTheClockWentForward() throws Exception {
+    long wanted = 100; // of 48 KB: more than the system's own buffers hold
+    try (NotingEngine pages = new NotingEngine("none"); GatewayProcess gateway = gateway(pages.address());
+        ThriftClient client = gateway.ready()) {
+      int asked = 0;
+      for (; pages.count("FREE") < wanted; asked++) {
+        client.execute("select 1", "limit", "15000");
+        Thread.sleep(10); // the engine has served most of them, and their answers wait to be taken
+      }
+      clock.step(HOUR);
+      Thread.sleep(1_500); // the sockets' own timers run once a second
+      int answers = 0;
+      for (int i = 0; i < asked; i++) {
+        answers += client.reply().kind().equals("ANSWER") ? 1 : 0;
+      }
+      assertTrue(answers >= wanted, answers + " answers");
+    }
+  }
 }
--- /dev/null
+++ b/gateway/src/test/java/reachloom/time/MonotonicClockTest.java
@@ -0,0 +1,45 @@
+package reachloom.time;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class MonotonicClockTest {
+  private static final long SECOND = 1_000_000_000;
+  private static final long HOUR = 3_600 * SECOND;
+
+  private final AtomicLong elapsed = new AtomicLong(17);
+  private final AtomicLong wall = new AtomicLong(1_700_000_000 * SECOND);
+  private final MonotonicClock clock = new MonotonicClock(elapsed::get, wall::get);
+
+  private void pass(long time) {
+    elapsed.addAndGet(time);
+    wall.addAndGet(time);
+  }
+
+  @Test
+  void startsAtTheWallClocksTimeAndRunsOnWhicheverWayThatIsStepped() {
+    long start = clock.now();
+    assertEquals(wall.get(), start);
+    wall.addAndGet(-HOUR);
+    pass(SECOND);
+    assertEquals(start + SECOND, clock.now());
+    wall.addAndGet(2 * HOUR);
+    pass(SECOND);
+    assertEquals(start + 2 * SECOND, clock.now());
+  }
+
+  @Test
+  void eachStepIsToldOnceAndSmallDifferencesOfTwoReadingsAreNone() {
+    pass(SECOND);
+    wall.addAndGet(SECOND / 20);
+    assertEquals(0, clock.wallClockStep());
+    wall.addAndGet(-SECOND / 20 - HOUR);
+    assertEquals(-HOUR, clock.wallClockStep());
+    pass(SECOND);
+    assertEquals(0, clock.wallClockStep());
+    wall.addAndGet(HOUR + 3 * SECOND);
+    assertEquals(HOUR + 3 * SECOND, clock.wallClockStep());
+  }
+}
