--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -5,6 +5,7 @@
 import java.util.*;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import reachloom.discovery.StartTimes;
 import reachloom.spread.*;
 import reachloom.state.*;
 
@@ -98,6 +99,7 @@
   private double meanWorth;
   private Share share;
   private Subset subset;
+  private final StartTimes startTimes = new StartTimes();
   /** Engines that are up, in this gateway's own order; it changes with the list alone. */
   private List<Engine> inOrder = List.of();
   private double fleet; // gateways like this one that make up the fleet
@@ -149,7 +151,7 @@
       named.add(entry.name());
       Engine old = engines.get(entry.name());
       if (old == null || entry.since() > old.info.since()) {
-        engines.put(entry.name(), started(now, entry)); // nothing known of the old process holds
+        engines.put(entry.name(), started(now, entry, !complete)); // nothing of the old process holds
         List.copyOf(old == null ? Set.of() : old.out).forEach(a -> lose(now, a, false));
       }
       Engine e = engines.get(entry.name());
@@ -169,14 +171,15 @@
     release(now, true);
   }
 
-  private Engine started(long now, EngineInfo entry) {
+  private Engine started(long now, EngineInfo entry, boolean asChange) {
     Engine e = new Engine(entry.name());
     Kind kind = entry.kind() < settings.kinds().size() ? settings.kinds().get(entry.kind()) : new Kind(0, 0);
     e.cores = kind.cores() > 0 ? kind.cores() : Math.max(1, entry.weight());
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
     e.lastSign = now;
-    e.coldUntil = entry.since() > 0 ? entry.since() + settings.rules().coldTime() : 0;
+    e.startedAt = entry.since() > 0 ? startTimes.ownTime(now, entry.since(), asChange) : 0;
+    e.coldUntil = entry.since() > 0 ? e.startedAt + settings.rules().coldTime() : 0;
     return e;
   }
 
@@ -390,7 +393,7 @@
     long slot = coldSlot(now, e);
     if (e.coldSlot != slot) {
       e.coldSlot = slot;
-      e.coldPart = e.info.since() + slot * coldSlotTime() >= startedAt ? coldPart(slot, e) : 0;
+      e.coldPart = e.startedAt + slot * coldSlotTime() >= startedAt ? coldPart(slot, e) : 0;
       e.coldSpent = 0;
     }
     return e.coldPart > 0 && e.coldSpent + coldCost(q) <= e.coldPart * coldBudget(now, e);
@@ -406,7 +409,7 @@
   }
 
   private long coldSlot(long now, Engine e) {
-    return Math.floorDiv(now - e.info.since(), coldSlotTime());
+    return Math.floorDiv(now - e.startedAt, coldSlotTime());
   }
 
   private long coldSlotTime() {
--- a/decisions/src/main/java/reachloom/gossip/Guard.java
+++ b/decisions/src/main/java/reachloom/gossip/Guard.java
@@ -46,7 +46,16 @@
   /** The cheap checks, in order of their cost: null, or why it is refused. All times are in nanoseconds. */
   public Refusal admit(long now, long source, boolean ofMember, boolean known, boolean certified,
       String sender, long itsTime, long seq) {
-    if (Math.abs(now - itsTime) > CLOCKS_APART) {
+    return admit(now, now, source, ofMember, known, certified, sender, itsTime, seq);
+  }
+
+  /**
+   * The same where the wall clock may have been stepped since this process started: what is of the present by
+   * either clock is fresh, since a tool that is started after a step goes by the wall clock of then.
+   */
+  public Refusal admit(long now, long wallClock, long source, boolean ofMember, boolean known,
+      boolean certified, String sender, long itsTime, long seq) {
+    if (Math.abs(now - itsTime) > CLOCKS_APART && Math.abs(wallClock - itsTime) > CLOCKS_APART) {
       return refuse(Refusal.TIME);
     }
     Replay replay = senders.get(sender);
--- a/decisions/src/main/java/reachloom/state/Engine.java
+++ b/decisions/src/main/java/reachloom/state/Engine.java
@@ -38,6 +38,8 @@
   /** When a connection to it was last seen to break. */
   public long resetAt;
   public long lastSign;
+  /** When its process started, on this gateway's clock; 0 for long ago. */
+  public long startedAt;
   public long coldUntil;
   /** The cold engine's slot that was last looked at, this gateway's part of it, and the work sent in it. */
   public long coldSlot = Long.MIN_VALUE;
--- /dev/null
+++ b/decisions/src/test/java/reachloom/discovery/StartTimesTest.java
@@ -0,0 +1,40 @@
+package reachloom.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class StartTimesTest {
+  private static final long SECOND = 1_000_000_000;
+  private static final long HOUR = 3_600 * SECOND;
+  private static final long NOW = 1_700_000_000 * SECOND;
+
+  private final StartTimes times = new StartTimes();
+
+  @Test
+  void aStartThatMayBeTrueIsTakenAsItIsTold() {
+    assertEquals(NOW - 7 * SECOND, times.ownTime(NOW, NOW - 7 * SECOND, true));
+    assertEquals(NOW - HOUR, times.ownTime(NOW, NOW - HOUR, false), "a whole list tells of old ones, too");
+  }
+
+  @Test
+  void anEngineThatIsToldAsNewHasJustStartedWhereThisClockIsAheadByAnHour() {
+    long own = NOW + HOUR;
+    assertEquals(own, times.ownTime(own, NOW - 2 * SECOND, true));
+    assertEquals(own + 5 * SECOND, times.ownTime(own + 6 * SECOND, NOW + 3 * SECOND, true));
+  }
+
+  @Test
+  void noEngineStartsInTheFutureWhereThisClockIsBehindByAnHour() {
+    long own = NOW - HOUR;
+    assertEquals(own, times.ownTime(own, NOW - 2 * SECOND, false));
+    assertEquals(own + 5 * SECOND, times.ownTime(own + 6 * SECOND, NOW + 3 * SECOND, true));
+  }
+
+  @Test
+  void aChangeThatWasToldLateDoesNotStandInTheWayOfLaterOnes() {
+    assertEquals(NOW, times.ownTime(NOW, NOW - 30 * SECOND, true));
+    assertEquals(NOW + SECOND, times.ownTime(NOW + SECOND, NOW, true), "would lie in the future now");
+    assertEquals(NOW + 2 * SECOND, times.ownTime(NOW + 3 * SECOND, NOW + SECOND, true));
+  }
+}
--- a/gateway/src/main/java/reachloom/gossip/net/Doorway.java
+++ b/gateway/src/main/java/reachloom/gossip/net/Doorway.java
@@ -12,6 +12,7 @@
 import reachloom.gossip.wire.GossipCodec;
 import reachloom.gossip.wire.GossipCodec.UnreadableException;
 import reachloom.gossip.wire.Head;
+import reachloom.time.WallClock;
 
 /**
  * Takes datagrams in, or refuses them and counts why: first what is cheap, then the certificate, then the
@@ -21,8 +22,8 @@
   private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final int MOST_KNOWN = 2_048;
 
-  /** What has come whole and proved. */
-  record Entered(Packet packet, int knows, long source) {
+  /** What has come whole and proved; {@code timeMs} is its sender's Unix time in milliseconds. */
+  record Entered(Packet packet, int knows, long source, long timeMs) {
   }
 
   private final int cluster;
@@ -73,7 +74,10 @@
     }
   }
 
-  /** Takes a datagram; null where it is refused, which is counted. {@code now} is in Unix nanoseconds. */
+  /**
+   * Takes a datagram; null where it is refused, which is counted. {@code now} is the process's own time in
+   * nanoseconds; certificates are valid by the wall clock.
+   */
   Entered enter(long now, long source, byte[] bytes) {
     synchronized (guard) {
       try {
@@ -96,17 +100,18 @@
       held = known.get(head.sender());
     }
     boolean same = held != null && (head.certificate() == null || same(held, head.certificate()));
-    Refusal no = guard.admit(now, source, members.contains(source), held != null, head.certificate() != null,
-        head.sender(), head.time() * MILLISECOND, head.seq());
+    long wallClock = WallClock.unixNanos();
+    Refusal no = guard.admit(now, wallClock, source, members.contains(source), held != null,
+        head.certificate() != null, head.sender(), head.time() * MILLISECOND, head.seq());
     if (no != null) {
       return null;
     }
-    X509Certificate of = same ? held : certificate(head, now);
+    X509Certificate of = same ? held : certificate(head, wallClock);
     if (of == null) {
       return null;
     }
     Identity me = identity;
-    long ms = now / MILLISECOND;
+    long ms = wallClock / MILLISECOND;
     if (me.revoked(of)) {
       guard.refuse(Refusal.REVOKED);
       return null;
@@ -128,7 +133,7 @@
     if (!same) {
       keep(head.sender(), of);
     }
-    return new Entered(GossipCodec.read(bytes, head), head.knows(), source);
+    return new Entered(GossipCodec.read(bytes, head), head.knows(), source, head.time());
   }
 
   private static boolean same(X509Certificate held, byte[] bytes) {
@@ -139,10 +144,10 @@
     }
   }
 
-  private X509Certificate certificate(Head head, long now) {
+  private X509Certificate certificate(Head head, long wallClock) {
     try {
       X509Certificate c = Identity.certificate(head.certificate());
-      if (Identity.commonName(c).equals(head.sender()) && identity.trusts(c, now / MILLISECOND)) {
+      if (Identity.commonName(c).equals(head.sender()) && identity.trusts(c, wallClock / MILLISECOND)) {
         return c;
       }
     } catch (GeneralSecurityException e) {
--- a/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
+++ b/gateway/src/main/java/reachloom/gossip/net/GossipNode.java
@@ -4,7 +4,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
+import java.security.cert.X509Certificate;
 import java.util.ArrayList;
+import java.util.Date;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,6 +30,7 @@
 import reachloom.membership.Message;
 import reachloom.membership.News;
 import reachloom.revision.Word;
+import reachloom.time.WallClock;
 
 /**
  * This gateway among the others: ties the pure modules to the loop and the port. All but the port's own
@@ -209,7 +212,7 @@
       knowsUs.remove(p.sender());
     }
     if (p.message() instanceof Message.Status s) {
-      status(p, s, e.source());
+      status(p, s, e.source(), e.timeMs());
     } else {
       gossip.receive(loop.now(), p);
     }
@@ -245,8 +248,12 @@
 
   @Override
   public void send(String to, long address, Packet packet) {
+    send(to, address, packet, loop.now() / MILLISECOND);
+  }
+
+  private void send(String to, long address, Packet packet, long timeMs) {
     byte[] certificate = knowsUs.contains(to) ? null : identity.certificate();
-    byte[] unsigned = GossipCodec.write(cluster, packet, seq++, loop.now() / MILLISECOND, certificate,
+    byte[] unsigned = GossipCodec.write(cluster, packet, seq++, timeMs, certificate,
         doorway.knows(to));
     sent += unsigned.length + GossipCodec.SIGNATURE + GossipCodec.UDP;
     port.send(address, unsigned);
@@ -254,8 +261,11 @@
 
   // ---- Status ----
 
-  /** Answers an operator with one page of the status, to where the question came from. */
-  private void status(Packet asked, Message.Status s, long source) {
+  /**
+   * Answers an operator with one page of the status, to where the question came from. The answer bears the
+   * time of the question: that is fresh by the clock of whoever asked, however far from this machine's.
+   */
+  private void status(Packet asked, Message.Status s, long source, long timeMs) {
     List<String> pages = pages();
     if (s.page() < 0 || s.page() >= pages.size()) {
       return;
@@ -265,7 +275,7 @@
     if (gossip.membership().meter().room(loop.now(), reachloom.membership.Meter.Use.ANSWER, size)) {
       gossip.membership().meter().sent(loop.now(), size, 0);
       send(asked.sender(), source, new Packet(identity.name(), GossipPort.number(settings.listen()),
-          gossip.membership().incarnation(), answer, List.of(), List.of()));
+          gossip.membership().incarnation(), answer, List.of(), List.of()), timeMs);
     }
   }
 
@@ -283,6 +293,11 @@
     return pages.subList(0, Math.min(MOST_PAGES, pages.size()));
   }
 
+  private static boolean valid(X509Certificate c) {
+    Date now = Date.from(WallClock.instant());
+    return !now.before(c.getNotBefore()) && !now.after(c.getNotAfter());
+  }
+
   /** What an operator wants to know, a line each; ASCII. */
   List<String> lines() {
     List<String> lines = new ArrayList<>();
@@ -294,6 +309,10 @@
         + port.dropped() + ", sent " + port.traffic().sent() + ", received " + port.traffic().received()
         + " of " + port.traffic().receivedBytes() + " bytes");
     lines.add("refused " + doorway.refused());
+    if (!valid(identity.own())) {
+      lines.add("certificate of this instance is not valid by this machine's wall clock, "
+          + WallClock.instant());
+    }
     if (revisions != null) {
       lines.addAll(revisions.lines(now));
     }
--- a/gateway/src/main/java/reachloom/gossip/net/Revisions.java
+++ b/gateway/src/main/java/reachloom/gossip/net/Revisions.java
@@ -18,6 +18,7 @@
 import reachloom.revision.Revision;
 import reachloom.revision.Seal;
 import reachloom.revision.Word;
+import reachloom.time.WallClock;
 
 /**
  * Revisions of the installation's configuration at this instance: ties {@link Dissemination} to gossip and to
@@ -26,7 +27,6 @@
  */
 public final class Revisions implements Rider, Dissemination.Host {
   private static final Logger LOG = System.getLogger(Revisions.class.getName());
-  private static final long MILLISECOND = 1_000_000; // nanoseconds
 
   /** Puts a document in force, off the loop. */
   public interface Installer {
@@ -57,7 +57,7 @@
 
   /** Reads the issuers' certificates anew. */
   void reload(GossipSettings settings, Identity identity) throws ConfigException {
-    seal = IssuersSeal.read(settings.configuration().orElseThrow(), identity, loop.now() / MILLISECOND);
+    seal = IssuersSeal.read(settings.configuration().orElseThrow(), identity, WallClock.unixMillis());
   }
 
   /** The member's part; for the loop's thread. */
--- a/gateway/src/main/java/reachloom/gossip/net/StatusClient.java
+++ b/gateway/src/main/java/reachloom/gossip/net/StatusClient.java
@@ -15,6 +15,7 @@
 import reachloom.gossip.Packet;
 import reachloom.gossip.wire.GossipCodec;
 import reachloom.membership.Message;
+import reachloom.time.WallClock;
 
 /** Asks an instance what it knows, page by page, over its gossip port; both sides prove who they are. */
 public final class StatusClient {
@@ -37,7 +38,7 @@
     }
     Doorway doorway = new Doorway(clusterName, me, TIMEOUT_MS * MILLISECOND);
     TreeMap<Integer, String> pages = new TreeMap<>();
-    long seq = System.currentTimeMillis() * MILLISECOND;
+    long seq = WallClock.unixNanos();
     int count = 1;
     try (DatagramSocket socket = new DatagramSocket()) {
       socket.setSoTimeout(TIMEOUT_MS);
@@ -61,7 +62,7 @@
       int page, long seq) throws IOException, GeneralSecurityException {
     Packet asked = new Packet(me.name(), 0, 0, new Message.Status(page), List.of(), List.of());
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(clusterName), asked, seq,
-        System.currentTimeMillis(), me.certificate(), 0);
+        WallClock.unixMillis(), me.certificate(), 0);
     byte[] signature = me.sign(unsigned);
     byte[] whole = Arrays.copyOf(unsigned, unsigned.length + signature.length);
     System.arraycopy(signature, 0, whole, unsigned.length, signature.length);
@@ -75,7 +76,7 @@
     } catch (SocketTimeoutException e) {
       return null;
     }
-    Doorway.Entered e = doorway.enter(System.currentTimeMillis() * MILLISECOND,
+    Doorway.Entered e = doorway.enter(WallClock.unixNanos(),
         GossipPort.number((InetSocketAddress) in.getSocketAddress()),
         Arrays.copyOf(in.getData(), in.getLength()));
     return e != null && e.packet().message() instanceof Message.StatusPage p ? p : null;
--- a/gateway/src/main/java/reachloom/revision/net/Spool.java
+++ b/gateway/src/main/java/reachloom/revision/net/Spool.java
@@ -17,6 +17,7 @@
 import reachloom.config.MergePatch;
 import reachloom.revision.Result;
 import reachloom.revision.Revision;
+import reachloom.time.WallClock;
 
 /**
  * How operators of an issuer's machine hand documents in: {@code inbox/NAME.json} is taken, {@code
@@ -27,6 +28,7 @@
   private static final Logger LOG = System.getLogger(Spool.class.getName());
   /** A document that has lain there for longer was given to an issuer that was down; nobody waits for it. */
   private static final long STALE_MS = 30_000;
+  private static final long NEVER = Long.MIN_VALUE;
   private static final int AT_ONCE = 16; // files of one look
   private static final int MOST_RESULTS = 256;
   private static final String DOCUMENT = ".json";
@@ -43,6 +45,7 @@
   private final Path outbox;
   private final Path status;
   private String last = "";
+  private long lookedAtMs = NEVER;
 
   Spool(Path folder) throws IOException {
     inbox = Files.createDirectories(folder.resolve("inbox"));
@@ -56,23 +59,32 @@
     }
   }
 
-  /** Looks for documents, oldest name first. */
+  /**
+   * Looks for documents, oldest name first. What was not there at the last look has lain there for no longer
+   * than the time since; only for what lay there before the first one the file's own time, by the wall
+   * clock, has to do.
+   *
+   * @param nowMs the process's own time in milliseconds
+   */
   void look(long nowMs, Taker taker) {
+    long mostAge = lookedAtMs == NEVER ? Long.MAX_VALUE : nowMs - lookedAtMs;
     try {
-      for (Path f : list(inbox, DOCUMENT, AT_ONCE)) {
-        take(nowMs, f, taker);
+      List<Path> found = list(inbox, DOCUMENT, AT_ONCE);
+      for (Path f : found) {
+        take(mostAge, f, taker);
       }
+      lookedAtMs = found.size() < AT_ONCE ? nowMs : lookedAtMs; // else some have not been looked at
     } catch (IOException e) {
       LOG.log(Level.WARNING, "{0}: cannot be looked at: {1}", inbox, e.toString());
     }
   }
 
-  private void take(long nowMs, Path f, Taker taker) throws IOException {
+  private void take(long mostAgeMs, Path f, Taker taker) throws IOException {
     String name = name(f);
     Path mine = taken.resolve(f.getFileName());
     byte[] document;
     try {
-      long age = nowMs - Files.getLastModifiedTime(f).toMillis();
+      long age = Math.min(mostAgeMs, WallClock.unixMillis() - Files.getLastModifiedTime(f).toMillis());
       long size = Files.size(f);
       Files.move(f, mine, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
       if (age > STALE_MS) {
--- a/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
+++ b/lab/src/main/java/reachloom/lab/gossip/SocketRun.java
@@ -19,6 +19,7 @@
 import reachloom.lab.rig.Trouble;
 import reachloom.lab.rig.Truth;
 import reachloom.membership.Message;
+import reachloom.time.WallClock;
 
 /**
  * Gossip among real gateways, each a process of its own on loopback, with engine stand-ins and real queries;
@@ -146,7 +147,7 @@
   private static byte[] forged(String name, long seq) {
     byte[] unsigned = GossipCodec.write(GossipCodec.cluster(Installation.CLUSTER),
         new Packet(name, 1, 1, new Message.Tell(), List.of(), List.of()),
-        Long.MAX_VALUE - 1_000_000_000 + seq, System.currentTimeMillis(), null, 1);
+        Long.MAX_VALUE - 1_000_000_000 + seq, WallClock.unixMillis(), null, 1);
     return Arrays.copyOf(unsigned, unsigned.length + GossipCodec.SIGNATURE);
   }
 
--- a/lab/src/main/java/reachloom/lab/scale/ControlPart.java
+++ b/lab/src/main/java/reachloom/lab/scale/ControlPart.java
@@ -75,7 +75,7 @@
         zones.append(z == 0 ? "" : ",").append(sent.bytes()).append('/').append(sent.frames());
       }
       String each = server.bytesSinceLooked().stream().map(String::valueOf).collect(Collectors.joining(","));
-      Child.say("usage " + System.currentTimeMillis() + " " + (time.now() - at) / Plan.MILLISECOND + " "
+      Child.say("usage " + MachineTime.millis() + " " + (time.now() - at) / Plan.MILLISECOND + " "
           + (each.isEmpty() ? "-" : each) + " " + zones);
       look(at + Plan.SECOND);
     });
--- a/lab/src/main/java/reachloom/lab/scale/FileAndSignal.java
+++ b/lab/src/main/java/reachloom/lab/scale/FileAndSignal.java
@@ -48,7 +48,7 @@
 
   @Override
   public void issue(long number) throws IOException {
-    long at = System.currentTimeMillis();
+    long at = MachineTime.millis();
     List<Integer> to = gateways.running();
     for (int g : to) {
       write(g);
--- a/lab/src/main/java/reachloom/lab/scale/HollowPart.java
+++ b/lab/src/main/java/reachloom/lab/scale/HollowPart.java
@@ -46,7 +46,7 @@
       t.setDaemon(true);
       return t;
     });
-    due = System.currentTimeMillis() + LIST_MS;
+    due = MachineTime.millis() + LIST_MS;
     looks.scheduleAtFixedRate(this::lists, LIST_MS, LIST_MS, TimeUnit.MILLISECONDS);
     looks.scheduleAtFixedRate(this::usage, USAGE_MS, USAGE_MS, TimeUnit.MILLISECONDS);
     Child.follow(this::told);
@@ -92,12 +92,12 @@
 
   @Override
   public void ready(int gateway, long lastEvent) {
-    Child.say("ready " + gateway + " " + System.currentTimeMillis() + " " + lastEvent);
+    Child.say("ready " + gateway + " " + MachineTime.millis() + " " + lastEvent);
   }
 
   @Override
   public void applied(int gateway, String issue) {
-    Child.say("applied " + gateway + " " + issue + " " + System.currentTimeMillis());
+    Child.say("applied " + gateway + " " + issue + " " + MachineTime.millis());
   }
 
   @Override
@@ -105,13 +105,13 @@
     synchronized (held) {
       Held h = held.computeIfAbsent(HollowGateway.key(member), k -> new Held());
       h.count++;
-      h.latest = System.currentTimeMillis();
+      h.latest = MachineTime.millis();
       h.told = false;
     }
   }
 
   private void lists() {
-    long now = System.currentTimeMillis();
+    long now = MachineTime.millis();
     lag = Math.max(lag, now - due);
     due = Math.max(due + LIST_MS, now);
     synchronized (held) {
@@ -125,7 +125,7 @@
   }
 
   private void usage() {
-    StringBuilder line = new StringBuilder("usage " + System.currentTimeMillis() + " " + lag);
+    StringBuilder line = new StringBuilder("usage " + MachineTime.millis() + " " + lag);
     lag = 0;
     gateways.forEach((number, g) -> {
       GossipNode.Traffic t = g.traffic();
--- a/standin/src/main/java/reachloom/standin/model/RealTime.java
+++ b/standin/src/main/java/reachloom/standin/model/RealTime.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Real time: one thread does what is due. Its clock is the system's at the start, kept from going back. */
+/** Real time: one thread does what is due. Its clock starts at the wall clock's time and runs on steadily. */
 public final class RealTime implements Timeline, AutoCloseable {
   private static final long MILLISECOND = 1_000_000; // nanoseconds
 
--- a/tools/src/main/java/reachloom/tools/GossipTool.java
+++ b/tools/src/main/java/reachloom/tools/GossipTool.java
@@ -41,6 +41,7 @@
 import reachloom.gossip.net.Identity;
 import reachloom.gossip.net.Pem;
 import reachloom.gossip.net.StatusClient;
+import reachloom.time.WallClock;
 
 /** {@code reachloom gossip}: makes and shows keys and certificates, takes them back, and asks instances. */
 public final class GossipTool {
@@ -211,7 +212,7 @@
   /** As small as X.509 allows: each first datagram to a peer carries one. */
   private static byte[] issue(String issuer, String subject, PublicKey of, PrivateKey by, Duration time,
       boolean authority) throws IOException, OperatorCreationException {
-    Instant from = Instant.now().minus(BACKDATED);
+    Instant from = WallClock.instant().minus(BACKDATED);
     X509v3CertificateBuilder builder = new X509v3CertificateBuilder(new X500Name(issuer),
         new BigInteger(SERIAL_BYTES * Byte.SIZE - 1, new SecureRandom()), Date.from(from),
         Date.from(from.plus(BACKDATED).plus(time)), new X500Name(subject),
--- a/tools/src/main/java/reachloom/tools/RevisionTool.java
+++ b/tools/src/main/java/reachloom/tools/RevisionTool.java
@@ -28,6 +28,7 @@
 import reachloom.revision.net.FileStore;
 import reachloom.revision.net.IssuerServer;
 import reachloom.revision.net.Progress;
+import reachloom.time.WallClock;
 import sun.misc.Signal;
 
 /** {@code reachloom revision}: runs an issuer of the configuration, and hands documents to it. */
@@ -191,7 +192,7 @@
     if (!Files.isDirectory(inbox)) {
       throw new ConfigException(inbox + ": is not there; has an issuer been started with this store?");
     }
-    String name = System.currentTimeMillis() + "-" + UUID.randomUUID();
+    String name = WallClock.unixMillis() + "-" + UUID.randomUUID();
     Path given = inbox.resolve(name + ".json");
     Path unseen = inbox.resolve("." + name + ".next"); // seen whole or not at all
     Files.write(unseen, document);
