An engine that has answered nothing counts as an average one; ticks look at engines in use

Engines' ratios compare with predictions that follow the answers, so that a ratio below 1 stays below 1; an engine that had answered nothing stood at 1 and lost each choice between two. Found in a test of decisions alone, without sockets: 1,000 of 1,000 queries went to the first of two engines. Change: latency.LatencyRatios, where an engine without an answer has the mean of the others and goes first among equals. Besides, what goes over all engines on a tick or a decision: the mean ratio is kept as a sum, ticks look at engines in use alone, a list's change searches instead of sorting (spread.EngineOrder), a predicted wait stops at enough, a change of the list touches the connections of those it names.

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import reachloom.discovery.StartTimes;
+import reachloom.latency.LatencyRatios;
 import reachloom.spread.*;
 import reachloom.state.*;
 
@@ -39,9 +40,7 @@
   private static final long FULL_REST = 500 * MILLISECOND; // a full refusal counts as pressure for so long
 
   // The estimate.
-  private static final double RATIO_WEIGHT = 0.2; // given by the design
-  private static final double RATIO_LEAST = 0.25; // one odd answer must not make an engine look free
-  private static final double RATIO_MOST = 20; // ... nor close it for good
+  private static final double STRAIN_WEIGHT = 0.2; // of the newest answer in what share of aims is taken
   private static final double LEARN_WEIGHT = 0.02; // of a class's newest query, after the first few
   private static final double UNKNOWN_COST = 0.25; // share of the deadline; high, for cold engines' sake
   private static final double GRANT_MARGIN = 1.2; // grant over the need expected: a spill costs more
@@ -98,10 +97,17 @@
   private double probeCredit;
   private double meanWorth;
   private Share share;
-  private Subset subset;
   private final StartTimes startTimes = new StartTimes();
+  private final LatencyRatios ratios = new LatencyRatios();
   /** Engines that are up, in this gateway's own order; it changes with the list alone. */
-  private List<Engine> inOrder = List.of();
+  private EngineOrder order;
+  /** Of these, those that may still be cold; the others on which a tick has something to look at. */
+  private final Set<Engine> cold = new LinkedHashSet<>();
+  private final Set<Engine> watched = new LinkedHashSet<>();
+  /** Engines that the list has dropped, until nothing is out there; those that others speak against. */
+  private final Set<Engine> gone = new LinkedHashSet<>();
+  private final Set<Engine> accused = new LinkedHashSet<>();
+  private long listed;
   private double fleet; // gateways like this one that make up the fleet
   private final Engine pool = new Engine(""); // the pool as one engine: all that is out, our share, its bound
   private double poolSigns = POOL_SIGNS; // nothing known: neither pressed nor calm
@@ -129,7 +135,7 @@
     startedAt = now;
     random = new SplittableRandom(seed);
     self = s.self() >= 0 ? s.self() : random.nextInt(s.gateways()); // where it is not told, by chance
-    subset = new Subset(self);
+    order = new EngineOrder(new Subset(self));
     fleet = s.gateways();
     s.classes().forEach(c -> classes.add(new ClassRecord(c)));
     s.tenants().forEach(t -> tenants.add(new TokenBucket(t.quotaPerSecond() / s.gateways(), TENANT_LEAST)));
@@ -151,32 +157,61 @@
       named.add(entry.name());
       Engine old = engines.get(entry.name());
       if (old == null || entry.since() > old.info.since()) {
-        engines.put(entry.name(), started(now, entry, !complete)); // nothing of the old process holds
-        List.copyOf(old == null ? Set.of() : old.out).forEach(a -> lose(now, a, false));
+        Engine started = started(now, entry, !complete);
+        started.number = old == null ? listed++ : old.number;
+        engines.put(entry.name(), started); // nothing known of the old process holds
+        if (old != null) {
+          forget(old);
+          List.copyOf(old.out).forEach(a -> lose(now, a, false));
+        }
       }
       Engine e = engines.get(entry.name());
       e.info = entry;
-      e.state = entry.state();
-    }
-    engines.values().stream().filter(e -> complete && !named.contains(e.name))
-        .forEach(e -> e.state = EngineState.GONE);
-    List<Engine> up = engines.values().stream().filter(e -> e.state == EngineState.UP).toList();
-    Map<String, Integer> order = subset.order(up.stream().map(e -> new Subset.Place(e.name,
-        e.cores)).toList());
-    up.forEach(e -> e.place = order.get(e.name));
-    inOrder = up.stream().sorted(Comparator.comparingInt(e -> e.place)).toList();
+      tell(now, e, entry.state());
+    }
+    if (complete) {
+      engines.values().stream().filter(e -> !named.contains(e.name))
+          .forEach(e -> tell(now, e, EngineState.GONE));
+    }
+    List<Engine> up = order.all();
+    ratios.up(up);
     pool.cores = up.stream().mapToDouble(e -> e.cores).sum();
     pool.memoryMb = up.stream().mapToDouble(e -> e.memoryMb).sum();
     pool.bound = pool.bound > 0 ? Math.min(pool.bound, mostThreads(pool)) : mostThreads(pool);
     release(now, true);
   }
 
+  /** The list tells in what state an engine is. */
+  private void tell(long now, Engine e, EngineState state) {
+    e.state = state;
+    if (state != EngineState.UP) {
+      forget(e);
+    } else {
+      order.add(e);
+      gone.remove(e);
+    }
+    if (state == EngineState.UP && now < e.coldUntil) {
+      cold.add(e);
+    }
+    if (state == EngineState.GONE) {
+      gone.add(e);
+    }
+  }
+
+  /** An engine is not in use any more; what is out there goes on. */
+  private void forget(Engine e) {
+    order.remove(e);
+    cold.remove(e);
+    accused.remove(e);
+  }
+
   private Engine started(long now, EngineInfo entry, boolean asChange) {
     Engine e = new Engine(entry.name());
     Kind kind = entry.kind() < settings.kinds().size() ? settings.kinds().get(entry.kind()) : new Kind(0, 0);
     e.cores = kind.cores() > 0 ? kind.cores() : Math.max(1, entry.weight());
     e.memoryMb = kind.memoryMb();
     e.bound = mostThreads(e);
+    e.boundChangedAt = now;
     e.lastSign = now;
     e.startedAt = entry.since() > 0 ? startTimes.ownTime(now, entry.since(), asChange) : 0;
     e.coldUntil = entry.since() > 0 ? e.startedAt + settings.rules().coldTime() : 0;
@@ -213,14 +248,14 @@
     }
     q.heldUntil = holdUntil(now, q);
     boolean itsTurn = itsTurn(now, q);
-    if (itsTurn && seconds(time - 2 * TICK) > estimate(q, meanRatio()) && ask(now, q)) {
+    if (itsTurn && seconds(time - 2 * TICK) > estimate(q, ratios.mean()) && ask(now, q)) {
       held.put(q.number, q); // until the reports are in
       return;
     }
     Engine engine = itsTurn ? pick(now, q) : null;
-    if (engine != null && seconds(time) >= estimate(q, engine.ratio)) {
+    if (engine != null && seconds(time) >= estimate(q, ratios.of(engine))) {
       send(now, q, engine);
-    } else if (predictedWait(now, q) + estimate(q, meanRatio()) > seconds(time)
+    } else if (waitsLonger(now, q, seconds(time) - estimate(q, ratios.mean()))
         || itsTurn && q.beyondShare) {
       giveUp(now, q);
     } else {
@@ -228,14 +263,41 @@
     }
   }
 
+  /** Whether a query that does not fit would wait for longer than that, in seconds. */
+  private boolean waitsLonger(long now, QueryRecord q, double seconds) {
+    double ratio = ratios.mean();
+    double left = seconds - keyWait(q, ratio);
+    double work = heldWork(now, ratio);
+    if (left < 0 || work <= 0) {
+      return left < 0;
+    }
+    // With that much of a bound it would not; so the engines need not all be looked at.
+    return work / boundUpTo(now, q, left > 0 ? work / left : Double.MAX_VALUE) > left;
+  }
+
   /** Held time times threads over the total bound: the wait of a query that does not fit, in seconds. */
   private double predictedWait(long now, QueryRecord q) {
-    double ratio = meanRatio();
-    double work = held.values().stream().filter(h -> itsTurn(now, h))
+    double ratio = ratios.mean();
+    double work = heldWork(now, ratio);
+    return (work <= 0 ? 0 : work / boundUpTo(now, q, Double.MAX_VALUE)) + keyWait(q, ratio);
+  }
+
+  private double heldWork(long now, double ratio) {
+    return held.values().stream().filter(h -> itsTurn(now, h))
         .mapToDouble(h -> estimate(h, ratio) * h.kind.threads()).sum();
-    double bound = engines.values().stream().filter(e -> open(now, q, e)).mapToDouble(e -> e.bound).sum();
+  }
+
+  /** The bound of all engines that are open to the query, counted until it is enough. */
+  private double boundUpTo(long now, QueryRecord q, double enough) {
+    double bound = 0;
+    for (Engine e : engines.values()) {
+      bound += open(now, q, e) ? e.bound : 0;
+      if (bound >= enough) {
+        break;
+      }
+    }
     bound = now < pool.pressedUntil ? Math.min(bound, pool.bound) : bound;
-    return work / Math.max(bound, q.kind.threads()) + keyWait(q, ratio);
+    return Math.max(bound, q.kind.threads());
   }
 
   /** The time that the earlier queries of its key still need. */
@@ -268,9 +330,9 @@
     return settings.traits().grants() ? need * GRANT_MARGIN : need;
   }
 
-  private double meanRatio() {
-    return engines.values().stream().filter(e -> e.state == EngineState.UP).mapToDouble(e -> e.ratio)
-        .average().orElse(1);
+  /** Whether it is the process of that name that the list tells of now, and in use. */
+  private boolean isUp(Engine e) {
+    return e.state == EngineState.UP && engines.get(e.name) == e;
   }
 
   private void learnCost(QueryRecord q) {
@@ -294,11 +356,10 @@
       c.memory.add(end.memoryMb(), LEARN_WEIGHT);
       c.memoryFactor.add(q.query.memoryMb() > 0 ? end.memoryMb() / q.query.memoryMb() : 1, LEARN_WEIGHT);
     }
-    c.time.add(time / e.ratio, LEARN_WEIGHT);
+    c.time.add(time / ratios.of(e), LEARN_WEIGHT);
     c.served.add(cost(q), LEARN_WEIGHT);
     c.factor = c.time.value / c.served.value;
-    double ratio = e.ratio + RATIO_WEIGHT * (time / Math.max(a.predicted, 1e-3) - e.ratio);
-    e.ratio = Math.max(RATIO_LEAST, Math.min(RATIO_MOST, ratio));
+    ratios.answered(e, isUp(e), time, a.predicted);
     double work = end.costMs() > 0 ? end.costMs() / 1e3 : cost(q);
     double aim = seconds(c.kind.aim()) + c.kind.aimStretch() * work / c.kind.threads();
     noteStrain(e, time / aim, work);
@@ -309,7 +370,7 @@
   /** Averages what share of its aim a query took; long queries tell more than short ones. */
   private void noteStrain(Engine e, double strain, double work) {
     double usual = classes.stream().mapToDouble(c -> c.cost.value).average().orElse(0);
-    double weight = RATIO_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3));
+    double weight = STRAIN_WEIGHT * Math.min(1, work / Math.max(usual, 1e-3));
     e.strain += weight * (strain - e.strain);
     pool.strain += weight * (strain - pool.strain);
   }
@@ -483,7 +544,8 @@
     List<Engine> asked = open.stream() // one that has not answered since is busy, or worse
         .filter(e -> q.asked.contains(e) && e.reportAt >= q.askedUntil - ASK_WAIT).toList();
     List<Engine> drawn = asked.isEmpty() ? drawTwo(now, open) : asked;
-    return drawn.stream().min(Comparator.comparingDouble(e -> load(now, q, e))).orElse(null);
+    return drawn.stream().min(Comparator.<Engine>comparingDouble(e -> load(now, q, e))
+        .thenComparing(e -> e.hasAnswered)).orElse(null); // of two alike, the one not known yet
   }
 
   private List<Engine> candidates(long now, QueryRecord q) {
@@ -495,21 +557,22 @@
     if (draw.size() <= wanted) {
       Set<Engine> few = new LinkedHashSet<>(draw);
       draw = few.isEmpty() ? second(now, q, wanted)
-          : engines.values().stream().filter(few::contains).toList();
+          : few.stream().sorted(Comparator.comparingLong(e -> e.number)).toList();
     }
     return preferred(draw.size() > wanted ? draw.subList(0, wanted) : draw, e -> loadsThere(now, q, e) == 0);
   }
 
   /** So many in this gateway's own order, cold ones first: few others may use a cold one's slot. */
   private List<Engine> first(long now, int count, Predicate<Engine> wanted) {
-    return Stream.concat(engines.values().stream().filter(e -> now < e.coldUntil),
-        inOrder.stream().filter(e -> now >= e.coldUntil)).filter(wanted).limit(count).toList();
+    cold.removeIf(e -> now >= e.coldUntil);
+    return Stream.concat(cold.stream(), order.stream().filter(e -> now >= e.coldUntil)).filter(wanted)
+        .limit(count).toList();
   }
 
   /** Where none is as good as wanted: those with room where it was already, or that others speak against. */
   private List<Engine> second(long now, QueryRecord q, int wanted) {
-    List<Engine> draw = engines.values().stream()
-        .filter(e -> (q.triedOn(e) || e.hearsay >= HEARSAY_TEST) && hasRoom(now, q, e)).toList();
+    List<Engine> draw = Stream.concat(q.attempts.stream().map(a -> a.engine), accused.stream()).distinct()
+        .filter(e -> isUp(e) && hasRoom(now, q, e)).sorted(Comparator.comparingLong(e -> e.number)).toList();
     draw = preferred(preferred(draw, e -> !q.triedOn(e)), e -> e.hearsay < HEARSAY_TEST);
     return draw.size() <= wanted ? draw : first(now, wanted, new LinkedHashSet<>(draw)::contains);
   }
@@ -533,7 +596,8 @@
 
   private double load(long now, QueryRecord q, Engine e) {
     double threads = (e.threads + q.kind.threads()) * fleet;
-    double load = (1 + ERROR_LOAD * e.errors + HEARSAY_LOAD * e.hearsay) * (1 + threads / e.cores) * e.ratio;
+    double trouble = 1 + ERROR_LOAD * e.errors + HEARSAY_LOAD * e.hearsay;
+    double load = trouble * (1 + threads / e.cores) * ratios.of(e);
     if (e.report != null && now - e.reportAt < REPORT_AGE) {
       load *= 1 + e.report.util() + e.report.queue() / e.cores;
     }
@@ -568,6 +632,7 @@
     q.asked.clear();
     e.add(a);
     pool.add(a);
+    watch(now, e);
     if (now < e.coldUntil) {
       e.coldSpent += coldCost(q);
     }
@@ -648,7 +713,7 @@
     }
     double spent = seconds(now - a.sentAt);
     double whole = spent / a.share;
-    double usual = estimate(a.query, Math.max(a.engine.ratio, meanRatio()));
+    double usual = estimate(a.query, Math.max(ratios.of(a.engine), ratios.mean()));
     return a.query.query.cost() > 0 && whole > BAD_PLAN * usual && whole - spent > RESEND_GAIN * usual
         && now + (long) (usual * SECOND) < a.query.deadline;
   }
@@ -686,6 +751,7 @@
       return;
     }
     Attempt a = q.attempts.get(end.attempt());
+    watch(now, a.engine);
     settle(now, q, a, end);
     judge(now, a, end);
     q.over |= end.over();
@@ -752,7 +818,7 @@
 
   /** After a failed attempt: elsewhere at once, else held as at arrival, else the final answer. */
   private void goOn(long now, QueryRecord q) {
-    boolean late = now + (long) (estimate(q, meanRatio()) * SECOND) > q.deadline;
+    boolean late = now + (long) (estimate(q, ratios.mean()) * SECOND) > q.deadline;
     boolean nowhere = engines.values().stream()
         .noneMatch(e -> e.state == EngineState.UP && repeatAllowed(now, q, e));
     if (late || nowhere || !furtherAllowed(now, q)) {
@@ -769,7 +835,7 @@
   private void release(long now, boolean all) {
     noteStall(now);
     boolean blocked = false;
-    double ratio = meanRatio();
+    double ratio = ratios.mean();
     for (QueryRecord q : held.values().stream().limit(all ? held.size() : FRONT).toList()) {
       boolean itsTurn = itsTurn(now, q);
       if (!itsTurn) { // the wait for its key is no wait for room
@@ -812,8 +878,9 @@
     boolean harmless = q.firstRunAt < 0 && q.out == 0 || q.kind.effect() == Effect.SAFE
         || q.kind.effect() == Effect.KEYED && q.kind.scope() == Scope.ALL;
     if (harmless) {
-      long whole = (long) Math.max(1, Math.ceil(predictedWait(now, q)));
-      actions.refuse(q.query.id(), settings.limits().retryAfter() ? whole * (long) SECOND : 0);
+      long retryAfter = !settings.limits().retryAfter() ? 0
+          : (long) Math.max(1, Math.ceil(predictedWait(now, q))) * (long) SECOND;
+      actions.refuse(q.query.id(), retryAfter);
     } else {
       actions.fail(q.query.id());
     }
@@ -859,11 +926,15 @@
     share.running(now, pool.memory);
     fleet = share.fleet(pool.memoryMb);
     keyLines.values().removeIf(k -> k.queries.isEmpty() && now >= k.restUntil);
-    engines.values().removeIf(e -> e.state == EngineState.GONE && e.out.isEmpty());
-    for (Engine e : engines.values()) {
+    removeGone();
+    for (Engine e : List.copyOf(watched)) {
       watchOver(now, e);
       moveBound(now, e, pressed(now, e));
+      if (e.out.isEmpty() && !pressed(now, e) && (e.strain >= CALM || e.bound >= mostThreads(e))) {
+        watched.remove(e);
+      }
     }
+    probeByClock(now);
     moveBound(now, pool, pool.strain > SLOW || poolSigns > POOL_SIGNS);
     release(now, true);
     actions.timer(TICK, TICK_TOKEN);
@@ -887,7 +958,7 @@
     cancel(a);
   }
 
-  /** Finds silent engines, and probes those that report on being asked. */
+  /** Finds silent engines. */
   private void watchOver(long now, Engine e) {
     double period = settings.traits().notePeriod();
     long lastSign = Math.max(e.lastSign, stalledUntil);
@@ -901,9 +972,32 @@
         lose(now, a, silent);
       }
     }
-    long gap = calm() ? CALM_GAP : PROBE_GAP;
-    if (e.state == EngineState.UP && now - e.probedAt >= gap && reportsTold() && reportsKept(now)) {
-      probe(now, e);
+  }
+
+  /** Keeps the reports of all engines fresh, where this gateway's traffic pays for it. */
+  private void probeByClock(long now) {
+    if (reportsTold() && reportsKept(now)) {
+      long gap = calm() ? CALM_GAP : PROBE_GAP;
+      engines.values().stream().filter(e -> e.state == EngineState.UP && now - e.probedAt >= gap)
+          .forEach(e -> probe(now, e));
+    }
+  }
+
+  /** Forgets engines that the list has dropped, once nothing is out there. */
+  private void removeGone() {
+    for (Engine e : List.copyOf(gone)) {
+      if (e.out.isEmpty()) {
+        gone.remove(e);
+        engines.remove(e.name, e);
+      }
+    }
+  }
+
+  /** Has the ticks look at an engine, whose bound has grown meanwhile where all was calm. */
+  private void watch(long now, Engine e) {
+    if (watched.add(e) && e.strain < CALM) {
+      double steps = Math.max(0, (double) (now - e.boundChangedAt) / BOUND_PAUSE);
+      e.bound = Math.min(Math.max(e.bound, mostThreads(e)), e.bound * Math.pow(BOUND_GROWTH, steps));
     }
   }
 
@@ -933,6 +1027,11 @@
     Engine e = engines.get(engine);
     if (e != null) {
       e.hearsay = level;
+      if (level >= HEARSAY_TEST && isUp(e)) {
+        accused.add(e);
+      } else {
+        accused.remove(e);
+      }
       if (level >= HEARSAY_TEST && e.state == EngineState.UP && reportsTold() && probeCredit >= 1) {
         probe(now, e);
       }
@@ -941,6 +1040,7 @@
 
   private void noteReport(long now, Engine e, Report report) {
     if (report != null && now > stalledUntil) {
+      watch(now, e);
       e.report = report;
       e.reportAt = now;
       notePool(busy(now, e));
--- a/decisions/src/main/java/reachloom/spread/Subset.java
+++ b/decisions/src/main/java/reachloom/spread/Subset.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * The engines that a gateway keeps to, in its own order. All engines lie on a ring, each on an arc as long as
@@ -46,10 +47,7 @@
       whole += p.weight;
     }
     ring.sort(Comparator.comparingLong(OnRing::hash).thenComparing(OnRing::name));
-    int first = 0;
-    for (double left = start * whole; first < ring.size() - 1 && left >= ring.get(first).weight; first++) {
-      left -= ring.get(first).weight;
-    }
+    int first = first(whole, ring.size(), i -> ring.get(i).weight);
     Map<String, Integer> places = new LinkedHashMap<>();
     for (int i = 0; i < ring.size(); i++) {
       places.put(ring.get((first + i) % ring.size()).name, i);
@@ -57,6 +55,15 @@
     return places;
   }
 
+  /** Where on a ring of so many engines, with those weights, this gateway's order begins. */
+  int first(double whole, int count, IntToDoubleFunction weight) {
+    int first = 0;
+    for (double left = start * whole; first < count - 1 && left >= weight.applyAsDouble(first); first++) {
+      left -= weight.applyAsDouble(first);
+    }
+    return first;
+  }
+
   /** A hash whose bits all depend on all of the name's; the same in every gateway. */
   static long mix(String name) {
     long h = 0;
--- a/decisions/src/main/java/reachloom/state/Engine.java
+++ b/decisions/src/main/java/reachloom/state/Engine.java
@@ -25,8 +25,11 @@
   /** Until when a load of somebody else is taken to hold a table group. */
   public final Map<Integer, Long> heldGroups = new LinkedHashMap<>();
 
+  /** Its answers' time against what was predicted; of no meaning before the first one. */
+  public double latencyRatio;
+  public boolean hasAnswered;
+
   public double bound;
-  public double ratio = 1;
   public double strain;
   public long boundChangedAt;
   public long pressedUntil;
@@ -49,8 +52,8 @@
   /** What other instances say against it, from 0 to 1. */
   public double hearsay;
 
-  /** Its place in the order in which this gateway keeps to engines. */
-  public int place;
+  /** Its place in the list as it was told; a new process keeps that of the one before. */
+  public long number;
 
   public Report report;
   public long reportAt;
--- a/decisions/src/test/java/reachloom/ChoiceTest.java
+++ b/decisions/src/test/java/reachloom/ChoiceTest.java
@@ -13,6 +13,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import reachloom.Decisions.Effect;
@@ -51,6 +54,21 @@
     assertEquals(List.of("send q a"), b.take());
   }
 
+  @Test
+  void anEngineThatHasAnsweredNothingYetIsAskedBesideOneThatHas() {
+    Bench b = new Bench().start(up("a"), up("b"));
+    Map<String, Integer> asked = new TreeMap<>();
+    for (int i = 0; i < 1_000; i++) {
+      b.arrive("q" + i, QUICK, 0);
+      String engine = b.take().get(0).split(" ")[2];
+      asked.merge(engine, 1, Integer::sum);
+      b.served("q" + i, engine, i == 0 ? 0.1 : 0.0004); // the first one waits for a connection
+      b.pass(5 * MS);
+      b.take();
+    }
+    assertEquals(Set.of("a", "b"), asked.keySet(), asked.toString());
+  }
+
   @Test
   void refusesAtArrivalWhatCannotFinishInTime() {
     Bench b = new Bench().start(up("a"));
--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -119,16 +119,29 @@
         }
       }
     }
-    for (Peer p : peers.values()) {
-      toHandOver.addAll(p.links); // what waits there may no longer be allowed
-      if (p.member == null || p.member.info().state() != EngineState.UP) {
-        p.links.forEach(l -> l.open.values().forEach(this::keepFromLeaving));
-      }
+    // Only those that are named, of thousands, can have changed.
+    List<String> told = whole ? List.copyOf(peers.keySet())
+        : members.stream().map(m -> m.info().name()).toList();
+    told.forEach(this::listChanged);
+  }
+
+  /** What waits at an engine may no longer be allowed; one that is gone keeps only connections in use. */
+  private void listChanged(String engine) {
+    Peer peer = peers.get(engine);
+    if (peer == null) {
+      return;
+    }
+    toHandOver.addAll(peer.links);
+    if (peer.member == null || peer.member.info().state() != EngineState.UP) {
+      peer.links.forEach(l -> l.open.values().forEach(this::keepFromLeaving));
+    }
+    if (peer.member == null) {
+      List.copyOf(peer.links).stream().filter(Link::unused)
+          .forEach(l -> close(l, false, "the engine is gone"));
+    }
+    if (peer.member == null && peer.links.isEmpty()) {
+      peers.remove(engine);
     }
-    List.copyOf(peers.values()).stream().filter(p -> p.member == null)
-        .forEach(p -> List.copyOf(p.links).stream().filter(Link::unused)
-            .forEach(l -> close(l, false, "the engine is gone")));
-    peers.values().removeIf(p -> p.member == null && p.links.isEmpty());
   }
 
   /** How many engines are remembered. */
--- a/lab/src/main/java/reachloom/lab/slopes/SlopesCommand.java
+++ b/lab/src/main/java/reachloom/lab/slopes/SlopesCommand.java
@@ -21,6 +21,7 @@
   private static final List<String> PATTERNS = List.of("idle", "even", "random");
   private static final List<String> KINDS = List.of("statements", "connections", "engines", "connects");
   private static final int MOST_SIZES = 16;
+  private static final int MOST_ENGINES = 3_200;
 
   @Override
   public String purpose() {
@@ -62,7 +63,7 @@
     boolean ofEngines = what.equals("engines");
     int[] rates = numbers(line, "rates", ofEngines ? "724" : what.equals("connects") ? "100,200,400,800"
         : "200,500,1000,2000", 20_000);
-    int[] engines = numbers(line, "engines", ofEngines ? "12,60,150,300,630" : "12", 1_000);
+    int[] engines = numbers(line, "engines", ofEngines ? "12,60,150,300,630" : "12", MOST_ENGINES);
     int[] connections = numbers(line, "connections", "500,1000,2000,4000", 4_900);
     OptionalLong idle = line.hasOption("idle-timeout-ms")
         ? OptionalLong.of(Arguments.number(line, "idle-timeout-ms", 0, 1_000, 86_400_000))
