--- a/decisions/src/test/java/reachloom/ColdSlotsTest.java
+++ b/decisions/src/test/java/reachloom/ColdSlotsTest.java
@@ -183,4 +183,25 @@
     b.choice.leave(b.now, "q");
     assertFalse(b.choice.mayStart(b.now, "q", 1), "its client has left");
   }
+
+  /** What a gateway does before a warm engine and one that is told as just started, at that time. */
+  private static List<String> told(long startedBefore) {
+    Bench b = new Bench().start(Bench.up("w"));
+    b.choice.engines(b.now, false, List.of(Bench.engine("c", EngineState.UP, 0, b.now - startedBefore)));
+    List<String> actions = new ArrayList<>();
+    for (int i = 0; i < 400; i++) {
+      b.arrive("q" + i, QUICK, WORK);
+      b.pass(STEP);
+      actions.addAll(b.take());
+    }
+    return actions;
+  }
+
+  @Test
+  void anEngineThatIsToldAsNewIsColdThoughThisClockIsAnHourAheadOrBehind() {
+    List<String> right = told(0);
+    assertTrue(right.stream().filter(a -> a.endsWith(" c")).count() < right.size() / 2);
+    assertEquals(right, told(3_600 * SECOND));
+    assertEquals(right, told(-3_600 * SECOND));
+  }
 }
--- a/lab/src/main/java/reachloom/lab/rig/Director.java
+++ b/lab/src/main/java/reachloom/lab/rig/Director.java
@@ -23,6 +23,11 @@
 
     /** Starts it anew under its name; nothing where it runs. */
     void start(int gateway);
+
+    /** From now on its wall clock is off by so many seconds from this machine's. */
+    default void stepClock(int gateway, double seconds) {
+      throw new IllegalStateException("only gateways that are processes have wall clocks");
+    }
   }
 
   private final World world;
@@ -96,6 +101,12 @@
             gateways.terminate(g);
             later(t.length(), () -> gateways.start(g));
           }
+          case CLOCK_FORWARD, CLOCK_BACK -> {
+            gateways.stepClock(g, t.kind() == Trouble.Kind.CLOCK_BACK ? -t.by() : t.by());
+            if (t.length() > 0) {
+              later(t.length(), () -> gateways.stepClock(g, 0));
+            }
+          }
           default -> {
             gateways.halt(g, true);
             truth.halted(g, true);
--- a/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
@@ -151,6 +151,9 @@
       company.open(world, hosts);
     }
     processes.archive();
+    if (script.stepsClocks()) {
+      processes.ownClocks();
+    }
     int ready = processes.startAll() + (company == null ? 0 : company.join());
     long started = time.now() - from;
     System.err.printf("%d of %d gateways are ready after %.1f s%n", ready, all(), started / 1e9);
@@ -288,6 +291,11 @@
     }
   }
 
+  @Override
+  public void stepClock(int gateway, double seconds) {
+    processes.stepClock(gateway, seconds);
+  }
+
   @Override
   public void start(int gateway) {
     if (gateway >= plan.gateways()) {
--- a/lab/src/main/java/reachloom/lab/rig/Processes.java
+++ b/lab/src/main/java/reachloom/lab/rig/Processes.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -16,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import reachloom.standin.SteppedClock;
 import reachloom.standin.ThriftClient;
 
 /**
@@ -41,6 +44,7 @@
   private final ExecutorService starters = Executors.newFixedThreadPool(WAVE);
   private final Process watcher;
   private final Thread hook = new Thread(this::killAll);
+  private final List<SteppedClock> clocks = new ArrayList<>();
   private Path archive;
   private volatile boolean closing;
 
@@ -88,6 +92,22 @@
     }
   }
 
+  /** Gives each gateway that starts from now on a wall clock of its own, which can be stepped. */
+  public void ownClocks() throws IOException, InterruptedException {
+    for (int g = 0; g < addresses.size(); g++) {
+      clocks.add(new SteppedClock(Files.createDirectories(folder.resolve("clock" + g))));
+    }
+  }
+
+  /** From now on a gateway's wall clock is off by so many seconds from this machine's. */
+  void stepClock(int gateway, double seconds) {
+    try {
+      clocks.get(gateway).step(Duration.ofMillis(Math.round(seconds * 1_000)));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private List<String> command(String... more) {
     List<String> words = new ArrayList<>();
     words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -113,6 +133,9 @@
         .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("g" + gateway + ".log").toFile()));
     builder.environment().keySet().removeIf(k -> k.startsWith("LB_") || k.startsWith("REACHLOOM_"));
     builder.environment().put("LB_CONFIG", config.toString());
+    if (!clocks.isEmpty()) {
+      builder.environment().putAll(clocks.get(gateway).environment());
+    }
     Process p = builder.start();
     running.set(gateway, p);
     OutputStream to = watcher.getOutputStream();
--- a/lab/src/main/java/reachloom/lab/rig/Script.java
+++ b/lab/src/main/java/reachloom/lab/rig/Script.java
@@ -23,7 +23,7 @@
   /** Scripts that the program brings along. */
   public static final List<String> NAMED = List.of("calm", "kill", "release", "zone", "sick",
       "idle-report", "restart", "stall", "list", "cut", "surge", "crowd", "steady", "regions-apart",
-      "control-lost", "ordinary-day", "primary");
+      "control-lost", "ordinary-day", "primary", "clocks");
   static final Script NONE = new Script("none", List.of());
 
   /** A script that can't be used: the text names the line, and what is wrong there. */
@@ -100,6 +100,11 @@
     return troubles.stream().anyMatch(Trouble::ofInstallation);
   }
 
+  /** Whether it steps wall clocks. */
+  boolean stepsClocks() {
+    return troubles.stream().anyMatch(Trouble::ofClocks);
+  }
+
   /** The last moment at which something happens, in seconds. */
   double end() {
     return troubles.stream().mapToDouble(t -> t.at() + t.lasts() + t.within()).max().orElse(0);
--- a/lab/src/main/java/reachloom/lab/rig/Trouble.java
+++ b/lab/src/main/java/reachloom/lab/rig/Trouble.java
@@ -4,7 +4,7 @@
  * One line of a script: at that time, in seconds, it begins for a share of those it may meet, in one zone or,
  * for -1, in all. What {@code by} says depends on the kind: times slower, share of errors, times the load,
  * milliseconds of delay, connections that an engine holds at most, control machines lost, changes of
- * configuration issued one after another. Times are in seconds.
+ * configuration issued one after another, seconds that a wall clock is stepped by. Times are in seconds.
  */
 public record Trouble(double at, Who who, Kind kind, double share, int zone, int far, double by, double lasts,
     double within) {
@@ -17,7 +17,7 @@
     SLOW(Who.ENGINES), CRASH(Who.ENGINES), REPLACE(Who.ENGINES), CROWD(Who.ENGINES),
     DELAY(Who.LINK), RESET(Who.LINK), CUT(Who.LINK), CUT_OUT(Who.LINK), CUT_IN(Who.LINK), LATE(Who.LIST),
     STALE(Who.LIST), DOWN(Who.LIST), SURGE(Who.LOAD), PART(Who.REGIONS), LOSE(Who.CONTROL),
-    ISSUE(Who.CONFIGURATION);
+    ISSUE(Who.CONFIGURATION), CLOCK_FORWARD(Who.GATEWAYS), CLOCK_BACK(Who.GATEWAYS);
 
     final Who who;
 
@@ -30,6 +30,11 @@
     return (long) (seconds * Plan.SECOND);
   }
 
+  /** Whether it steps wall clocks, which only processes have. */
+  boolean ofClocks() {
+    return kind == Kind.CLOCK_FORWARD || kind == Kind.CLOCK_BACK;
+  }
+
   /** Whether only a whole installation can play it: regions, control machines, a source of configuration. */
   public boolean ofInstallation() {
     return who == Who.REGIONS || who == Who.CONTROL || who == Who.CONFIGURATION;
