System calls that fail on this machine are made again, and tell nothing of engines or clients

Change: wire.LocalFailures; accept, read and write are made again after 2 ms, interrupted ones count as nothing done; dials that fail before they leave are made again every 5 ms within their time and end as never sent; failures are counted and told once a second at most.

--- a/gateway/src/main/java/reachloom/gateway/Engines.java
+++ b/gateway/src/main/java/reachloom/gateway/Engines.java
@@ -54,6 +54,8 @@
   private static final int MOST_HANDED = 8 * 1024;
   /** A request given up that its connection has not taken whole by then is kept back by ending that. */
   private static final long STUCK = 50 * MILLISECOND;
+  /** Between tries to connect where it is this machine that can't. */
+  private static final long REDIAL = 5 * MILLISECOND;
 
   /** Hears what becomes of attempts and probes; on the loop's thread. */
   interface Watcher {
@@ -77,6 +79,7 @@
   private final Watcher watcher;
   private final Transport transport;
   private final boolean reports;
+  private final Sockets sockets;
   private final NioSocketConnector connector;
   private final Slots<Link> table;
   private final Map<String, Peer> peers = new LinkedHashMap<>();
@@ -93,6 +96,7 @@
     this.transport = transport;
     this.reports = reports;
     this.table = new Slots<>(mostLinks);
+    this.sockets = sockets;
     this.connector = sockets.connector(new DecodingHandler<>("engine", NodeDecoder::new, new Heard()),
         transport.dialTimeout());
     loop.atTurnEnd(this::handOver);
@@ -327,22 +331,38 @@
     }
     peer.links.add(l);
     InetSocketAddress address = peer.member.address();
-    ConnectFuture future =
-        connector.connect(address, (session, f) -> session.setAttribute(LINK, l.handle));
     l.dial = loop.deadlines().add(loop.now() + transport.dialTimeout(), () -> {
       LOG.log(Level.INFO, "engine {0} at {1}: no connection in time", l.engine, address);
-      Sockets.giveUp(future);
+      Sockets.giveUp(l.connecting);
       close(l, true, "no connection in time");
     });
+    connect(l, address);
+    return l;
+  }
+
+  /** Connects; again after a moment, within the dial's time, where it is this machine that can't. */
+  private void connect(Link l, InetSocketAddress address) {
+    if (l.closed) {
+      return;
+    }
+    ConnectFuture future =
+        connector.connect(address, (session, f) -> session.setAttribute(LINK, l.handle));
+    l.connecting = future;
     future.addListener(f -> {
       if (!future.isConnected()) {
-        loop.post(0, () -> {
-          LOG.log(Level.DEBUG, "engine {0} at {1}: {2}", l.engine, address, future.getException());
-          close(l, true, "the dial failed");
-        });
+        loop.post(0, () -> connectFailed(l, address, future));
       }
     });
-    return l;
+  }
+
+  private void connectFailed(Link l, InetSocketAddress address, ConnectFuture future) {
+    LOG.log(Level.DEBUG, "engine {0} at {1}: {2}", l.engine, address, future.getException());
+    l.failedHere = sockets.failedHere(future);
+    if (l.failedHere) {
+      loop.deadlines().add(loop.now() + REDIAL, () -> connect(l, address));
+    } else {
+      close(l, true, "the dial failed");
+    }
   }
 
   private void up(Link l, IoSession session) {
@@ -413,7 +433,9 @@
     for (Attempt a : open) {
       Reach reach = a.reach();
       boolean mayStillGo = reach == Reach.NOT_WHOLE && !hasEnded;
-      loop.later(() -> watcher.ended(a, mayStillGo ? Outcome.RESET : reach.broken));
+      // A dial that this machine could not make is no evidence against the engine.
+      Outcome broken = reach == Reach.NOT_CONNECTED && l.failedHere ? Outcome.NOT_SENT : reach.broken;
+      loop.later(() -> watcher.ended(a, mayStillGo ? Outcome.RESET : broken));
     }
     for (String tag : tags) {
       loop.deadlines().cancel(l.probes.remove(tag));
--- a/gateway/src/main/java/reachloom/gateway/tables/Link.java
+++ b/gateway/src/main/java/reachloom/gateway/tables/Link.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import reachloom.gateway.tables.Deadlines.Deadline;
@@ -31,6 +32,9 @@
   /** Silent while attempts on it ran out of time: not used for new work without need. */
   public boolean suspect;
   public Deadline dial;
+  /** The latest try to connect, and whether it failed on this machine. */
+  public ConnectFuture connecting;
+  public boolean failedHere;
   public Deadline idle;
 
   /** A connection that is being made. */
--- /dev/null
+++ b/gateway/src/main/java/reachloom/gateway/wire/LocalFailures.java
@@ -0,0 +1,63 @@
+package reachloom.gateway.wire;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * System calls of this machine that fail for want of memory, buffers, descriptors or addresses. They tell
+ * nothing of the other side, and pass: the call is made again. Counts them, and tells of them once in a while.
+ */
+final class LocalFailures {
+  private static final Logger LOG = System.getLogger(LocalFailures.class.getName());
+  private static final long TOLD_EVERY = 1_000_000_000; // nanoseconds
+  /** So long until the next try, in milliseconds: a call that goes on failing must not take the processor. */
+  private static final long PAUSE_MS = 2;
+  /** What the system says of ENOBUFS, ENOMEM, EINTR and EAGAIN. */
+  private static final Set<String> PASSING = Set.of("No buffer space available", "Cannot allocate memory",
+      "Interrupted system call", "Resource temporarily unavailable");
+
+  private final AtomicLong count = new AtomicLong();
+  private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - TOLD_EVERY);
+
+  /** Whether a read or write failed for want of something on this machine, and the connection still stands. */
+  static boolean passes(IOException failure) {
+    return failure.getMessage() != null && PASSING.contains(failure.getMessage());
+  }
+
+  /**
+   * Whether a dial failed before it left this machine: refusals, time-outs and hosts out of reach have
+   * exceptions of their own.
+   */
+  static boolean isOfThisMachine(Throwable failure) {
+    return failure instanceof SocketException && !(failure instanceof ConnectException)
+        && !(failure instanceof NoRouteToHostException)
+        || failure instanceof IOException io && passes(io);
+  }
+
+  /** Notes a failure, and waits a moment, on a thread of the sockets. */
+  void pause(String call, IOException failure) {
+    note(call, failure);
+    try {
+      Thread.sleep(PAUSE_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Notes a failure. */
+  void note(String call, Throwable failure) {
+    long all = count.incrementAndGet();
+    long now = System.nanoTime();
+    long last = toldAt.get();
+    if (now - last >= TOLD_EVERY && toldAt.compareAndSet(last, now)) {
+      LOG.log(Level.WARNING, "a system call failed on this machine, and is made again: {0}: {1}; {2} so far",
+          call, failure.getMessage(), all);
+    }
+  }
+}
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -39,6 +39,7 @@
   private static final long FULL_PAUSE_MS = 2;
   private static final long MILLISECOND = 1_000_000; // nanoseconds
   private static final long LATER = 2;
+  private static final int END_OF_STREAM = -1;
 
   private static final AttributeKey ENDED = new AttributeKey(Sockets.class, "ended");
 
@@ -47,6 +48,7 @@
     t.setDaemon(true);
     return t;
   });
+  private final LocalFailures failures = new LocalFailures();
   private final HalfClosing processor = new HalfClosing(threads);
   private final BoundedAcceptor acceptor;
   private final List<NioSocketConnector> connectors = new CopyOnWriteArrayList<>();
@@ -55,15 +57,38 @@
    * The library's, which can also shut the output of a connection alone. It reads all that is there before
    * anything of it is passed on, so that one who sends much and goes has gone before the first of it counts.
    */
-  private static final class HalfClosing extends NioProcessor {
+  private final class HalfClosing extends NioProcessor {
     HalfClosing(Executor threads) {
       super(threads);
     }
 
+    @Override
+    protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
+      try {
+        return Math.max(0, super.write(session, buffer, length)); // interrupted: nothing was written
+      } catch (IOException e) {
+        if (!LocalFailures.passes(e)) {
+          throw e;
+        }
+        failures.pause("write", e);
+        return 0; // the library tries again once the connection takes something
+      }
+    }
+
     @Override
     protected int read(NioSession session, IoBuffer buffer) throws Exception {
-      int read = super.read(session, buffer);
-      if (read < 0) {
+      int read;
+      try {
+        read = super.read(session, buffer);
+        read = read < END_OF_STREAM ? 0 : read; // interrupted: the platform tells that by other numbers
+      } catch (IOException e) {
+        if (!LocalFailures.passes(e)) {
+          throw e;
+        }
+        failures.pause("read", e);
+        return 0; // what is there is still there
+      }
+      if (read == END_OF_STREAM) {
         session.setAttribute(ENDED);
       } else if (!buffer.hasRemaining() && buffer.capacity() < MOST_AT_ONCE) {
         buffer.expand(buffer.capacity()); // the library goes on while there is room
@@ -124,7 +149,7 @@
         Thread.sleep(FULL_PAUSE_MS); // this thread does nothing else
         return null;
       }
-      NioSession session = super.accept(of, channel);
+      NioSession session = acceptOrWait(of, channel);
       if (session != null) {
         held.incrementAndGet();
         holders.add(session);
@@ -133,6 +158,17 @@
       return session;
     }
 
+    /** The next connection; null where the call failed, and whoever waits is accepted a little later. */
+    private NioSession acceptOrWait(IoProcessor<NioSession> of, ServerSocketChannel channel)
+        throws Exception {
+      try {
+        return super.accept(of, channel);
+      } catch (IOException e) { // the library would accept nothing for a second
+        failures.pause("accept", e);
+        return null;
+      }
+    }
+
     private void leave(IoSession session) {
       if (holders.remove(session)) {
         held.decrementAndGet();
@@ -192,6 +228,18 @@
     return session.write(IoBuffer.wrap(bytes));
   }
 
+  /**
+   * Whether a dial failed on this machine, before anything left it, so that it tells nothing of the other
+   * side; then it is counted.
+   */
+  public boolean failedHere(ConnectFuture future) {
+    boolean here = LocalFailures.isOfThisMachine(future.getException());
+    if (here) {
+      failures.note("connect", future.getException());
+    }
+    return here;
+  }
+
   /**
    * Gives up a connection that is not up yet; one that comes up all the same is closed. It is not cancelled:
    * the library counts a dial down that is cancelled while its connection is up and its session is still to
--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -181,6 +182,11 @@
     return process.waitFor(20, TimeUnit.SECONDS) ? process.exitValue() : -1;
   }
 
+  /** The processor time that the process has used. */
+  public Duration processorTime() {
+    return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
   public boolean alive() {
     return process.isAlive();
   }
--- a/standin/src/main/java/reachloom/standin/NodeStandIn.java
+++ b/standin/src/main/java/reachloom/standin/NodeStandIn.java
@@ -66,6 +66,13 @@
     return commands.stream().filter(c -> c.startsWith(prefix)).count();
   }
 
+  /** Ends all its connections in order, as an engine does with idle ones. */
+  public void cut() throws IOException {
+    for (Socket s : sockets) {
+      s.close();
+    }
+  }
+
   public int connections() {
     return sockets.size();
   }
