--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -2,13 +2,30 @@
 
 // Types, events and actions of this module: decisions/src/main/java/reachloom/Decisions.java.
 
-import java.util.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import reachloom.discovery.StartTimes;
 import reachloom.latency.LatencyRatios;
-import reachloom.spread.*;
-import reachloom.state.*;
+import reachloom.spread.EngineOrder;
+import reachloom.spread.Share;
+import reachloom.spread.Subset;
+import reachloom.spread.Turns;
+import reachloom.state.Attempt;
+import reachloom.state.ClassRecord;
+import reachloom.state.Engine;
+import reachloom.state.KeyLine;
+import reachloom.state.QueryRecord;
+import reachloom.state.SlidingSum;
+import reachloom.state.TokenBucket;
 
 /**
  * Decides for one gateway: admits a query at arrival on a prediction, holds it for a short while,
--- a/gateway/src/main/java/reachloom/gateway/Gateway.java
+++ b/gateway/src/main/java/reachloom/gateway/Gateway.java
@@ -6,15 +6,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-import java.util.regex.Pattern;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import reachloom.Decisions.Actions;
 import reachloom.Decisions.AttemptEnd;
-import reachloom.Decisions.Effect;
 import reachloom.Decisions.Events;
 import reachloom.Decisions.Note;
 import reachloom.Decisions.NoteKind;
@@ -36,7 +35,6 @@
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.FrameDecoder;
 import reachloom.gateway.wire.Listener;
-import reachloom.gateway.wire.Numbers;
 import reachloom.gateway.wire.Sockets;
 import reachloom.gateway.wire.TableGroup;
 import reachloom.gateway.wire.ThriftReader;
@@ -100,9 +98,6 @@
   private static final long FIRST_WORDS = 1_000 * MILLISECOND;
 
   private static final long SWEEP = 200 * MILLISECOND;
-  private static final long LONGEST_LIMIT_MS = 24 * 60 * 60 * 1000;
-  private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
-  private static final Pattern KEY = Pattern.compile("[0-9A-Za-z_-]{1,64}");
 
   private final GatewayConfig config;
   private final Loop loop;
@@ -508,37 +503,24 @@
   }
 
   private void execute(Client c, ClientCall.Execute call, long at) {
-    Map<String, String> fields = call.fields();
-    String id = fields.getOrDefault("txn", "");
-    int queryClass = config.names().classes().indexOf(fields.getOrDefault("verb", ""));
-    List<String> tenants = config.names().tenants();
-    int tenant = tenants.isEmpty() ? 0 : tenants.indexOf(fields.getOrDefault("team", ""));
-    long limit = Numbers.whole(fields.get("limit"), 0);
-    String key = fields.get("unique");
-    boolean keyed =
-        queryClass >= 0 && config.settings().classes().get(queryClass).effect() == Effect.KEYED;
-    boolean usable =
-        queryClass >= 0
-            && tenant >= 0
-            && limit > 0
-            && limit <= LONGEST_LIMIT_MS
-            && ID.matcher(id).matches()
-            && (key == null ? !keyed : KEY.matcher(key).matches());
-    if (!usable || byId.containsKey(id) || c.open.containsKey(call.seq())) {
+    Optional<RequestFields> read = RequestFields.read(call.fields(), config);
+    boolean known = read.isPresent() && byId.containsKey(read.get().id());
+    if (read.isEmpty() || known || c.open.containsKey(call.seq())) {
       LOG.log(
           Level.WARNING,
           "a request with fields that can''t be used, or an id that is open: {0}",
-          id);
+          call.fields().get("txn"));
       write(c, ThriftWriter.failed(call.seq()));
       return;
     }
+    RequestFields fields = read.get();
     Bytes statement = call.statement();
-    long deadline = Math.min(at + limit * MILLISECOND, answerBy);
+    long deadline = Math.min(at + fields.limitMs() * MILLISECOND, answerBy);
     Request r =
         new Request(
-            id,
-            config.names().classes().get(queryClass),
-            key,
+            fields.id(),
+            config.names().classes().get(fields.queryClass()),
+            fields.key(),
             statement.array(),
             statement.from(),
             statement.length(),
@@ -558,19 +540,13 @@
       write(c, ThriftWriter.busy(call.seq())); // it was never sent
       return;
     }
-    heldBytes += statement.array().length;
-    byId.put(id, r);
-    c.open.put(r.seq, r);
-    clients.touch(c, at);
-    r.backstop =
-        loop.deadlines()
-            .add(deadline - ahead(r) / BACKSTOP_PART, () -> giveUp(r, "its time is up"));
+    open(c, r);
     long now = loop.now();
     Query query =
         new Query(
-            id,
-            queryClass,
-            tenant,
+            r.id,
+            fields.queryClass(),
+            fields.tenant(),
             null,
             Math.max(0, deadline - now),
             0,
@@ -580,6 +556,17 @@
     tell(() -> module.arrive(now, query));
   }
 
+  /** Books a request that is taken. */
+  private void open(Client c, Request r) {
+    heldBytes += r.frame.length;
+    byId.put(r.id, r);
+    c.open.put(r.seq, r);
+    clients.touch(c, r.arrivedAt);
+    r.backstop =
+        loop.deadlines()
+            .add(r.deadline - ahead(r) / BACKSTOP_PART, () -> giveUp(r, "its time is up"));
+  }
+
   private static long ahead(Request r) {
     return Math.min(AHEAD, (r.deadline - r.arrivedAt) / AHEAD_PART);
   }
--- a/gateway/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/LineLogger.java
@@ -19,69 +19,78 @@
 
   @Override
   public System.Logger getLogger(String name, Module module) {
-    String shortName = name.substring(name.lastIndexOf('.') + 1);
-    return new System.Logger() {
-      private long spanFrom = System.nanoTime();
-      private int lines;
+    return new Lines(name);
+  }
 
-      @Override
-      public String getName() {
-        return name;
-      }
+  /** The lines of one class. */
+  private static final class Lines implements System.Logger {
+    private final String name;
+    private final String shortName;
+    private long spanFrom = System.nanoTime();
+    private int lines;
 
-      @Override
-      public boolean isLoggable(Level level) {
-        return level.getSeverity() >= Level.INFO.getSeverity() && level != Level.OFF;
-      }
+    Lines(String name) {
+      this.name = name;
+      shortName = name.substring(name.lastIndexOf('.') + 1);
+    }
 
-      @Override
-      public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
-        if (isLoggable(level) && room()) {
-          write(level, message, thrown);
-        }
+    @Override
+    public String getName() {
+      return name;
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+      return level.getSeverity() >= Level.INFO.getSeverity() && level != Level.OFF;
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
+      if (isLoggable(level) && room()) {
+        write(level, message, thrown);
       }
+    }
 
-      @Override
-      public void log(Level level, ResourceBundle bundle, String format, Object... values) {
-        if (!isLoggable(level) || !room()) {
-          return;
-        }
-        write(
-            level,
-            values == null || values.length == 0 ? format : MessageFormat.format(format, values),
-            null);
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... values) {
+      if (!isLoggable(level) || !room()) {
+        return;
       }
+      write(
+          level,
+          values == null || values.length == 0 ? format : MessageFormat.format(format, values),
+          null);
+    }
 
-      private synchronized boolean room() {
-        long now = System.nanoTime();
-        if (now - spanFrom >= SPAN) {
-          int left = lines - MOST_LINES;
-          spanFrom = now;
-          lines = 0;
-          if (left > 0) {
-            write(Level.WARNING, left + " more lines were left out", null);
-          }
+    private synchronized boolean room() {
+      long now = System.nanoTime();
+      if (now - spanFrom >= SPAN) {
+        int left = lines - MOST_LINES;
+        spanFrom = now;
+        lines = 0;
+        if (left > 0) {
+          write(Level.WARNING, left + " more lines were left out", null);
         }
-        return ++lines <= MOST_LINES;
       }
+      return ++lines <= MOST_LINES;
+    }
 
-      private void write(Level level, String message, Throwable thrown) {
-        StringBuilder line =
-            new StringBuilder()
-                .append(WallClock.instant().truncatedTo(ChronoUnit.MILLIS))
-                .append(' ')
-                .append(level.getName())
-                .append(' ')
-                .append(shortName)
-                .append(": ")
-                .append(message.replaceAll("[\\r\\n]", " "));
-        synchronized (ERR) {
-          ERR.println(line);
-          if (thrown != null) {
-            thrown.printStackTrace(ERR);
-          }
+    private void write(Level level, String message, Throwable thrown) {
+      StringBuilder line =
+          new StringBuilder()
+              .append(WallClock.instant().truncatedTo(ChronoUnit.MILLIS))
+              .append(' ')
+              .append(level.getName())
+              .append(' ')
+              .append(shortName)
+              .append(": ")
+              .append(message.replaceAll("[\\r\\n]", " "));
+      synchronized (ERR) {
+        ERR.println(line);
+        if (thrown != null) {
+          thrown.printStackTrace(ERR);
         }
       }
-    };
+    }
   }
 }
