--- a/lab/src/main/java/reachloom/lab/rig/Director.java
+++ b/lab/src/main/java/reachloom/lab/rig/Director.java
@@ -28,6 +28,11 @@
     default void stepClock(int gateway, double seconds) {
       throw new IllegalStateException("only gateways that are processes have wall clocks");
     }
+
+    /** From now on so many in a thousand of its system calls on sockets fail. */
+    default void failCalls(int gateway, int perThousand) {
+      throw new IllegalStateException("only gateways that are processes make system calls");
+    }
   }
 
   private final World world;
@@ -116,6 +121,10 @@
                 gateways.terminate(g);
                 later(t.length(), () -> gateways.start(g));
               }
+              case FAIL_CALLS -> {
+                gateways.failCalls(g, (int) t.by());
+                later(t.length(), () -> gateways.failCalls(g, 0));
+              }
               case CLOCK_FORWARD, CLOCK_BACK -> {
                 gateways.stepClock(g, t.kind() == Trouble.Kind.CLOCK_BACK ? -t.by() : t.by());
                 if (t.length() > 0) {
--- a/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/rig/ProcessFleet.java
@@ -178,6 +178,9 @@
     if (script.stepsClocks()) {
       processes.ownClocks();
     }
+    if (script.failsCalls()) {
+      processes.ownCalls();
+    }
     int ready = processes.startAll() + (company == null ? 0 : company.join());
     long started = time.now() - from;
     System.err.printf("%d of %d gateways are ready after %.1f s%n", ready, all(), started / 1e9);
@@ -319,6 +322,11 @@
     }
   }
 
+  @Override
+  public void failCalls(int gateway, int perThousand) {
+    processes.failCalls(gateway, perThousand);
+  }
+
   @Override
   public void stepClock(int gateway, double seconds) {
     processes.stepClock(gateway, seconds);
--- a/lab/src/main/java/reachloom/lab/rig/Processes.java
+++ b/lab/src/main/java/reachloom/lab/rig/Processes.java
@@ -13,11 +13,13 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import reachloom.standin.FaultyCalls;
 import reachloom.standin.SteppedClock;
 import reachloom.standin.ThriftClient;
 
@@ -54,6 +56,7 @@
   private final Process watcher;
   private final Thread hook = new Thread(this::killAll);
   private final List<SteppedClock> clocks = new ArrayList<>();
+  private final List<FaultyCalls> calls = new ArrayList<>();
   private Path archive;
   private volatile boolean closing;
 
@@ -114,6 +117,11 @@
     }
   }
 
+  /** Two libraries that are preloaded into one process. */
+  private static String both(String first, String second) {
+    return first + ":" + second;
+  }
+
   /** Gives each gateway that starts from now on a wall clock of its own, which can be stepped. */
   public void ownClocks() throws IOException, InterruptedException {
     for (int g = 0; g < addresses.size(); g++) {
@@ -121,6 +129,22 @@
     }
   }
 
+  /** Lets system calls of each gateway that starts from now on fail, once that is asked for. */
+  public void ownCalls() throws IOException, InterruptedException {
+    for (int g = 0; g < addresses.size(); g++) {
+      calls.add(new FaultyCalls(Files.createDirectories(folder.resolve("calls" + g)), g));
+    }
+  }
+
+  /** From now on so many in a thousand of a gateway's system calls on sockets fail. */
+  void failCalls(int gateway, int perThousand) {
+    try {
+      calls.get(gateway).fail(FaultyCalls.Shares.all(perThousand));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** From now on a gateway's wall clock is off by so many seconds from this machine's. */
   void stepClock(int gateway, double seconds) {
     try {
@@ -163,8 +187,12 @@
                 ProcessBuilder.Redirect.appendTo(folder.resolve("g" + gateway + ".log").toFile()));
     builder.environment().keySet().removeIf(k -> k.startsWith("LB_") || k.startsWith("REACHLOOM_"));
     builder.environment().put("LB_CONFIG", config.toString());
+    Map<String, String> environment = builder.environment();
     if (!clocks.isEmpty()) {
-      builder.environment().putAll(clocks.get(gateway).environment());
+      clocks.get(gateway).environment().forEach((k, v) -> environment.merge(k, v, Processes::both));
+    }
+    if (!calls.isEmpty()) {
+      calls.get(gateway).environment().forEach((k, v) -> environment.merge(k, v, Processes::both));
     }
     Process p = builder.start();
     running.set(gateway, p);
--- a/lab/src/main/java/reachloom/lab/rig/Script.java
+++ b/lab/src/main/java/reachloom/lab/rig/Script.java
@@ -40,7 +40,8 @@
           "control-lost",
           "ordinary-day",
           "primary",
-          "clocks");
+          "clocks",
+          "calls");
 
   static final Script NONE = new Script("none", List.of());
 
@@ -134,6 +135,11 @@
     return troubles.stream().anyMatch(Trouble::ofClocks);
   }
 
+  /** Whether it lets system calls fail. */
+  boolean failsCalls() {
+    return troubles.stream().anyMatch(Trouble::ofCalls);
+  }
+
   /** The last moment at which something happens, in seconds. */
   double end() {
     return troubles.stream().mapToDouble(t -> t.at() + t.lasts() + t.within()).max().orElse(0);
--- a/lab/src/main/java/reachloom/lab/rig/Trouble.java
+++ b/lab/src/main/java/reachloom/lab/rig/Trouble.java
@@ -53,7 +53,8 @@
     LOSE(Who.CONTROL),
     ISSUE(Who.CONFIGURATION),
     CLOCK_FORWARD(Who.GATEWAYS),
-    CLOCK_BACK(Who.GATEWAYS);
+    CLOCK_BACK(Who.GATEWAYS),
+    FAIL_CALLS(Who.GATEWAYS);
 
     final Who who;
 
@@ -71,6 +72,11 @@
     return kind == Kind.CLOCK_FORWARD || kind == Kind.CLOCK_BACK;
   }
 
+  /** Whether it lets system calls fail, which only processes make. */
+  boolean ofCalls() {
+    return kind == Kind.FAIL_CALLS;
+  }
+
   /**
    * Whether only a whole installation can play it: regions, control machines, a source of
    * configuration.
