A reset while connecting is the other side's, not this machine's

Cause: found on reading the change: a reset of a dial is a SocketException as well. Change: it is no local failure; a test for which failures are. Measured: LocalFailuresTest green.

--- a/gateway/src/main/java/reachloom/gateway/wire/LocalFailures.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/LocalFailures.java
@@ -45,13 +45,16 @@
 
   /**
    * Whether a dial failed before it left this machine: refusals, time-outs and hosts out of reach
-   * have exceptions of their own.
+   * have exceptions of their own, and a reset comes from the other side.
    */
   static boolean isOfThisMachine(Throwable failure) {
-    return failure instanceof SocketException
-            && !(failure instanceof ConnectException)
-            && !(failure instanceof NoRouteToHostException)
-        || failure instanceof IOException io && passes(io);
+    if (failure instanceof ConnectException || failure instanceof NoRouteToHostException) {
+      return false;
+    }
+    if (failure instanceof SocketException e) {
+      return e.getMessage() == null || !e.getMessage().contains("reset");
+    }
+    return failure instanceof IOException e && passes(e);
   }
 
   /** Notes a failure, and waits a moment, on a thread of the sockets. */
