Engines that the list has dropped leave the ticks' set

Cause: found on reading: an engine that was dropped while its answers were slow would have stayed among those that ticks look at, for good. Change: one that is forgotten and has nothing out leaves. Measured: the tests of decisions are green.

--- a/decisions/src/main/java/reachloom/Choice.java
+++ b/decisions/src/main/java/reachloom/Choice.java
@@ -1092,7 +1092,7 @@
     for (Engine e : List.copyOf(watched)) {
       watchOver(now, e);
       moveBound(now, e, pressed(now, e));
-      if (e.out.isEmpty() && !pressed(now, e) && (e.strain >= CALM || e.bound >= mostThreads(e))) {
+      if (e.out.isEmpty() && restsAsItIs(now, e)) {
         watched.remove(e);
       }
     }
@@ -1102,6 +1102,12 @@
     actions.timer(TICK, TICK_TOKEN);
   }
 
+  /** Whether ticks would change nothing of an engine on which nothing is out. */
+  private boolean restsAsItIs(long now, Engine e) {
+    boolean forgotten = engines.get(e.name) != e;
+    return forgotten || !pressed(now, e) && (e.strain >= CALM || e.bound >= mostThreads(e));
+  }
+
   /**
    * After a stall all has aged unseen: holding and silence count anew, the pile-up's reports are
    * old.
