The wall clock by which certificates are valid is handed to Doorway

Change: Doorway takes the wall clock as a source; the test sets both clocks, and a second one tells fresh datagrams by either clock apart. Nothing is loosened.

--- a/gateway/src/main/java/reachloom/gossip/net/Doorway.java
+++ b/gateway/src/main/java/reachloom/gossip/net/Doorway.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import reachloom.gossip.Guard;
 import reachloom.gossip.Packet;
 import reachloom.gossip.Refusal;
@@ -27,6 +28,7 @@
 
   private final int cluster;
   private final Guard guard;
+  private final LongSupplier wallClock;
   private final Map<String, X509Certificate> known = new LinkedHashMap<>(16, 0.75f, true);
   private volatile Identity identity;
   private volatile Set<Long> members = Set.of();
@@ -36,7 +38,14 @@
   }
 
   Doorway(String cluster, Identity identity, long period, boolean revisions) {
+    this(cluster, identity, period, revisions, WallClock::unixNanos);
+  }
+
+  /** The same by a wall clock handed in, in Unix nanoseconds. */
+  Doorway(
+      String cluster, Identity identity, long period, boolean revisions, LongSupplier wallClock) {
     guard = new Guard(period, revisions);
+    this.wallClock = wallClock;
     this.cluster = GossipCodec.cluster(cluster);
     this.identity = identity;
   }
@@ -101,7 +110,7 @@
       held = known.get(head.sender());
     }
     boolean same = held != null && (head.certificate() == null || same(held, head.certificate()));
-    long wallClock = WallClock.unixNanos();
+    long wallClock = this.wallClock.getAsLong();
     Refusal no =
         guard.admit(
             now,
--- a/lab/src/test/java/reachloom/gossip/net/DoorwayTest.java
+++ b/lab/src/test/java/reachloom/gossip/net/DoorwayTest.java
@@ -28,6 +28,7 @@
   private Identity sender;
   private Doorway doorway;
   private long seq = 1;
+  private long wallClock;
 
   @BeforeEach
   void make() throws Exception {
@@ -35,7 +36,9 @@
     installation.instance("g1", "ca", 30);
     installation.instance("g2", "ca", 3);
     sender = identity("g2");
-    doorway = new Doorway(Installation.CLUSTER, identity("g1"), 1_000 * MILLISECOND);
+    doorway =
+        new Doorway(
+            Installation.CLUSTER, identity("g1"), 1_000 * MILLISECOND, false, () -> wallClock);
   }
 
   private Identity identity(String name) throws Exception {
@@ -58,9 +61,25 @@
   }
 
   private Doorway.Entered enter(long time, byte[] bytes) {
+    return enter(time, time, bytes);
+  }
+
+  private Doorway.Entered enter(long time, long wall, byte[] bytes) {
+    wallClock = wall * MILLISECOND;
     return doorway.enter(time * MILLISECOND, 7, bytes);
   }
 
+  @Test
+  void afterAStepOfTheWallClockADatagramIsFreshByEitherClockAndNoOther() throws Exception {
+    long now = System.currentTimeMillis();
+    long stepped = now + DAY / 24;
+    assertNotNull(
+        enter(now, stepped, datagram(now, true)), "of a peer whose clock was not stepped");
+    assertNotNull(enter(now, stepped, datagram(stepped, true)), "of a tool started after the step");
+    assertNull(enter(now, stepped, datagram(now - DAY / 24, true)));
+    assertEquals(1L, doorway.refused().get(Refusal.TIME));
+  }
+
   @Test
   void aCertificateThatExpiresWhileRunningIsNoLongerTaken() throws Exception {
     long now = System.currentTimeMillis();
