An engine that has answered nothing counts as 1 at most where the others are slow

Since engines without an answer had the mean of the others, which overload raises, and no longer drew the mean down to admit queries. Change: such an engine counts as the mean of the others and 1 at most, and counts in the mean, as before where others are slow.

--- a/decisions/src/main/java/reachloom/latency/LatencyRatios.java
+++ b/decisions/src/main/java/reachloom/latency/LatencyRatios.java
@@ -21,10 +21,14 @@
 
   private int count;
 
+  /** How many engines are up. */
+  private int up;
+
   /** The engines that are up from now on. */
   public void up(Collection<Engine> engines) {
     sum = 0;
     count = 0;
+    up = engines.size();
     for (Engine engine : engines) {
       if (engine.hasAnswered) {
         sum += engine.latencyRatio;
@@ -33,14 +37,22 @@
     }
   }
 
-  /** The mean over the engines that are up and have answered; 1 where there is none. */
+  /** The mean over the engines that are up; 1 where there is none. */
   public double mean() {
-    return count == 0 ? 1 : sum / count;
+    return up == 0 ? 1 : (sum + (up - count) * unknown()) / up;
   }
 
   /** The ratio of an engine. */
   public double of(Engine engine) {
-    return engine.hasAnswered ? engine.latencyRatio : mean();
+    return engine.hasAnswered ? engine.latencyRatio : unknown();
+  }
+
+  /**
+   * The ratio of one that has answered nothing: the mean of those that have, and 1 at most, since
+   * an engine that has just come back need not be as slow as those that bore its load meanwhile.
+   */
+  private double unknown() {
+    return count == 0 ? 1 : Math.min(1, sum / count);
   }
 
   /**
