--- a/review/standin/review/Gateway.java
+++ b/review/standin/review/Gateway.java
@@ -113,8 +113,8 @@
   void signal(String signal) throws IOException {
     record.line("gateway %s: SIG%s to process %d", name, signal, process.pid());
     try {
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
-          .redirectErrorStream(true)
+      new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+          .inheritIO()
           .start()
           .waitFor();
     } catch (InterruptedException e) {
--- a/review/standin/review/Pause.java
+++ b/review/standin/review/Pause.java
@@ -127,7 +127,8 @@
                     "select * from sales_17.builds -- ms=" + workMs);
             client.write(frame);
             request.wholeAtMs = record.nowMs();
-            record.line("client: %s %s to n%d, limit %d ms", queryClass, request.id, gateway, LIMIT_MS);
+            record.line(
+                "client: %s %s to n%d, limit %d ms", queryClass, request.id, gateway, LIMIT_MS);
             request.answer = client.reply().kind();
             request.answeredAtMs = record.nowMs();
             record.line(
--- a/review/standin/review/SlowDiscovery.java
+++ b/review/standin/review/SlowDiscovery.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case: the list of nodes runs 3.5 s behind for 24 s. 2 s after that has begun a node begins to
+ * Not a case of its own: the list of nodes runs 3.5 s behind for 24 s. 2 s after that has begun a node begins to
  * drain. The gateway has to stop sending to it in time.
  */
 final class SlowDiscovery {
@@ -58,10 +58,14 @@
         }
       }
       record.say(
-          "%d requests answered; before the drain %d were sent to the node", answered.get(), before);
+          "%d requests answered; before the drain %d were sent to the node",
+          answered.get(),
+          before);
       record.say(
           "%d sent to the draining node later than %d ms after the event; the last after %.0f ms",
-          broken, TOLD_MS + GRACE_MS, last);
+          broken,
+          TOLD_MS + GRACE_MS,
+          last);
       boolean ran = answered.get() > 100 && before > 0;
       return !ran ? Scene.NOT_RUN : broken > 0 ? Scene.BROKEN : Scene.HELD;
     }
