Review: cases 2 and 3 check the length of the pause and what was taken

Cause: case 3 gave the answers no half second after their time, took SIGTERM's time before the signal was sent, and would have counted a request that was never written; neither case measured its pause.

--- a/review/standin/review/Pause.java
+++ b/review/standin/review/Pause.java
@@ -15,6 +15,9 @@
   private static final int STOPPED = 2;
   private static final long PAUSE_MS = 1_800;
 
+  /** Pauses are 2,000 ms at most; a longer one is outside the limits and is not judged. */
+  private static final long MAX_PAUSE_MS = 2_000;
+
   /** Requests of each kind for each gateway, and the time between them. */
   private static final int REQUESTS = 8;
 
@@ -54,12 +57,12 @@
     Threads.sleep(1_000);
     List<Request> requests = Collections.synchronizedList(new ArrayList<>());
     List<Thread> clients = new ArrayList<>();
+    double stoppedAtMs = scene.record.nowMs();
     if (scene.trouble) {
       for (int i = 0; i < STOPPED; i++) {
         scene.gateways.get(i).signal("STOP");
       }
     }
-    double stoppedAtMs = scene.record.nowMs();
     for (int i = 0; i < REQUESTS; i++) {
       Threads.sleep(INTERVAL_MS);
       for (int g = 0; g < GATEWAYS; g++) {
@@ -73,6 +76,8 @@
         scene.gateways.get(i).signal("CONT");
       }
     }
+    double pauseMs = scene.record.nowMs() - stoppedAtMs;
+    scene.record.line("the pause took %.0f ms at most", scene.trouble ? pauseMs : 0);
     for (Thread client : clients) {
       try {
         client.join(20_000);
@@ -80,7 +85,8 @@
         throw new IllegalStateException("interrupted", e);
       }
     }
-    return judge(scene, requests);
+    int status = judge(scene, requests);
+    return pauseMs > MAX_PAUSE_MS ? Scene.NOT_RUN : status;
   }
 
   private static int judge(Scene scene, List<Request> requests) {
--- a/review/standin/review/ShutdownInPause.java
+++ b/review/standin/review/ShutdownInPause.java
@@ -23,9 +23,19 @@
   /** The longest deadline, which counts as 3 s at most, and 0.7 s. */
   private static final long KILL_AFTER_MS = 3_000 + 700;
 
+  /** Pauses are 2,000 ms at most; a longer one is outside the limits and is not judged. */
+  private static final long MAX_PAUSE_MS = 2_000;
+
+  /** Up to half a second after its time an answer only earns nothing; 50 ms is sockets' slack. */
+  private static final long SLACK_MS = 550;
+
   private static final class Request {
     final String id = Client.newId();
     final Gateway gateway;
+
+    /** Whether its last byte is written; only then has the gateway taken it. */
+    volatile boolean whole;
+
     volatile String answer;
 
     Request(Gateway gateway) {
@@ -53,25 +63,28 @@
       clients.add(Threads.daemon("client " + i, () -> ask(scene, request)));
     }
     Threads.sleep(500);
-    if (scene.engines.stream().mapToInt(engine -> engine.arrivals.size()).sum() < REPORTS) {
+    if (!requests.stream().allMatch(request -> request.whole)) {
       return Scene.NOT_RUN;
     }
+    double stopMs = scene.record.nowMs();
     if (scene.trouble) {
       gateway.signal("STOP");
     }
     Threads.sleep(TERM_AFTER_MS);
-    double termMs = scene.record.nowMs();
     gateway.signal("TERM");
+    double termMs = scene.record.nowMs(); // once it is sent, so that SIGKILL is not too early
     Threads.sleep(PAUSE_MS - TERM_AFTER_MS);
     if (scene.trouble) {
       gateway.signal("CONT");
     }
+    double pauseMs = scene.record.nowMs() - stopMs;
+    scene.record.line("the pause took %.0f ms at most", scene.trouble ? pauseMs : 0);
     gateway.awaitEnd((long) Math.max(1, termMs + KILL_AFTER_MS - scene.record.nowMs()));
     scene.record.line("SIGKILL, if the gateway has not ended");
     gateway.close();
     for (Thread client : clients) {
       try {
-        client.join(LIMIT_MS);
+        client.join(LIMIT_MS + 2 * SLACK_MS);
       } catch (InterruptedException e) {
         throw new IllegalStateException("interrupted", e);
       }
@@ -84,16 +97,17 @@
       }
     }
     scene.record.say("%d of %d requests never answered", lost, requests.size());
-    return lost > 0 ? Scene.BROKEN : Scene.HELD;
+    return pauseMs > MAX_PAUSE_MS ? Scene.NOT_RUN : lost > 0 ? Scene.BROKEN : Scene.HELD;
   }
 
   private static void ask(Scene scene, Request request) {
     try (Client client = new Client(request.gateway.listen)) {
-      client.timeout((int) LIMIT_MS);
+      client.timeout((int) (LIMIT_MS + SLACK_MS));
       client.write(
           client.execute(
               Client.fields("history-report", request.id, LIMIT_MS),
               "select * from sales_17.builds -- ms=" + WORK_MS));
+      request.whole = true;
       scene.record.line(
           "client: %s sent to %s, limit %d ms", request.id, request.gateway.name, LIMIT_MS);
       request.answer = client.reply().kind();
