A slow message no longer ends its connection and the requests open on it

Callers: a client with a report open began a load of 30 KB at 10 KB/s on the same connection. The gateway ended the connection 2 s after the load's first byte; the report was never answered, and the load could never be sent.

Cause: ClientConnectionTable ordered connections within a message by the message's first byte, and returned them as overdue whatever was open on them and however recently bytes had come. A first message on a new connection counted as silence in the same way.

Change: the table holds two lists, of connections without open requests only: those that await a message and idle ones, both by last activity. Bytes within a message are activity, for 30 s from its first. A connection with open requests is in neither list, so no close and no eviction can choose it.

Evidence: the log names the close ("idle, silent or within a message for too long").

--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -48,8 +48,8 @@
   private static final AttributeKey CLIENT = new AttributeKey(ClientConnections.class, "client");
 
   /**
-   * A connection on which the client sends no complete message after connecting, or does not
-   * complete one that it began, is closed after this time, since it holds a file descriptor.
+   * A connection without open requests on which the client sends nothing after connecting, or
+   * within a message, is closed after this time, since it holds a file descriptor.
    */
   private static final long MAX_SILENCE_NANOS = 2_000 * NANOS_PER_MILLI;
 
@@ -117,9 +117,9 @@
   }
 
   /**
-   * Closes the connections that never sent a message, stall within one, or are idle, up to the
-   * number that can be closed gracefully at once. The others are closed by the next sweep, or are
-   * evicted before.
+   * Closes the connections without open requests that never sent a message, stall within one, or
+   * are idle, up to the number that can be closed gracefully at once. The others are closed by the
+   * next sweep, or are evicted before.
    */
   void sweep() {
     long now = loop.now();
@@ -220,6 +220,11 @@
       loop.post(0, () -> onMessageBegun(session));
     }
 
+    @Override
+    public void messageContinued(IoSession session, int bytes) {
+      loop.post(bytes, () -> onMessageContinued(session));
+    }
+
     @Override
     public void inputMalformed(IoSession session) {
       loop.post(0, () -> onMalformed(session));
@@ -257,6 +262,10 @@
     client(session).ifPresent(client -> table.messageBegun(client, loop.now()));
   }
 
+  private void onMessageContinued(IoSession session) {
+    client(session).ifPresent(client -> table.messageContinued(client, loop.now()));
+  }
+
   private void onMalformed(IoSession session) {
     client(session).ifPresent(client -> disconnect(client, "the client sent undecodable input"));
   }
--- a/gateway/src/main/java/reachloom/gateway/state/ClientConnection.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientConnection.java
@@ -14,7 +14,13 @@
   /** When the client connected or was last active; see {@link ClientConnectionTable#touch}. */
   public long lastActiveAtNanos;
 
-  /** When the first part of an incomplete message was received. */
+  /** Whether no complete message has been received so far. */
+  public boolean silent = true;
+
+  /** Whether a part of an incomplete message was received. */
+  public boolean withinMessage;
+
+  /** When the first part of the latest incomplete message was received. */
   public long messageBegunAtNanos;
 
   /** The open requests by their sequence numbers. */
@@ -25,4 +31,9 @@
     this.session = session;
     lastActiveAtNanos = nowNanos;
   }
+
+  /** Returns whether the client has begun a message, or has not sent any since it connected. */
+  public boolean awaitsMessage() {
+    return silent || withinMessage;
+  }
 }
--- a/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
@@ -7,24 +7,32 @@
 import java.util.Set;
 
 /**
- * A bounded table of client connections, with those that may be closed ordered by time: the silent
- * ones, the idle ones, and those within a message. No operation for admission, eviction or timeouts
- * visits all connections, so that a flood of them is admitted and evicted at constant cost each.
+ * A bounded table of client connections, with those that may be closed ordered by time: the idle
+ * ones, and those on which a message is awaited. A connection with open requests is neither: each
+ * of them is owed a response on it. No operation for admission, eviction or timeouts visits all
+ * connections, so that a flood of them is admitted and evicted at constant cost each.
  *
  * <p>Confined to the event loop's thread. All times are nanoseconds on its clock.
  */
 public final class ClientConnectionTable {
+  /**
+   * Bytes of a message count as activity until this long after its first ones, so that a client
+   * can't hold a connection by sending a few now and then. A client that sends the longest message
+   * at 3 KB/s completes it in time.
+   */
+  static final long MAX_MESSAGE_NANOS = 30_000_000_000L;
+
   private final GenerationalSlots<ClientConnection> slots;
 
-  /** Connections without a complete message so far, in the order in which they were accepted. */
-  private final Set<ClientConnection> silent = new LinkedHashSet<>();
+  /**
+   * Connections without open requests from which a message is awaited: the first one, or the rest
+   * of an incomplete one. In the order in which they were last active.
+   */
+  private final Set<ClientConnection> awaiting = new LinkedHashSet<>();
 
   /** Other connections without open requests, in the order in which they were last active. */
   private final Set<ClientConnection> idle = new LinkedHashSet<>();
 
-  /** Connections with an incomplete message, in the order in which it began. */
-  private final Set<ClientConnection> withinMessage = new LinkedHashSet<>();
-
   /** Creates an empty table of at most {@code maxConnections} connections. */
   public ClientConnectionTable(int maxConnections) {
     slots = new GenerationalSlots<>(maxConnections);
@@ -33,7 +41,7 @@
   /** Adds a new connection and sets its handle; returns false if the table is full. */
   public boolean add(ClientConnection client) {
     client.handle = slots.add(client);
-    return client.handle != GenerationalSlots.NONE && silent.add(client);
+    return client.handle != GenerationalSlots.NONE && awaiting.add(client);
   }
 
   /** Returns the connection of a handle; empty once it is removed. */
@@ -44,58 +52,61 @@
   /** Removes a connection. */
   public void remove(ClientConnection client) {
     slots.remove(client.handle);
-    silent.remove(client);
+    awaiting.remove(client);
     idle.remove(client);
-    withinMessage.remove(client);
   }
 
   /** Records that the first part of an incomplete message was received on a connection. */
   public void messageBegun(ClientConnection client, long nowNanos) {
+    client.withinMessage = true;
     client.messageBegunAtNanos = nowNanos;
-    withinMessage.remove(client);
-    withinMessage.add(client);
+    touch(client, nowNanos);
+  }
+
+  /** Records that a further part of an incomplete message was received on a connection. */
+  public void messageContinued(ClientConnection client, long nowNanos) {
+    if (nowNanos - client.messageBegunAtNanos < MAX_MESSAGE_NANOS) {
+      touch(client, nowNanos);
+    }
   }
 
-  /** Records that a complete message was received on a connection at the given time. */
-  public void messageReceived(ClientConnection client, long receivedAtNanos) {
-    withinMessage.remove(client);
-    silent.remove(client);
-    touch(client, receivedAtNanos);
+  /** Records that a complete message was received on a connection. */
+  public void messageReceived(ClientConnection client, long nowNanos) {
+    client.withinMessage = false;
+    client.silent = false;
+    touch(client, nowNanos);
   }
 
   /** Records activity: bytes read or written, or a request opened or closed. */
   public void touch(ClientConnection client, long nowNanos) {
     client.lastActiveAtNanos = nowNanos;
+    awaiting.remove(client);
     idle.remove(client);
     boolean current = slots.get(client.handle) == client;
-    if (client.openRequests.isEmpty() && !silent.contains(client) && current) {
-      idle.add(client);
+    if (current && client.openRequests.isEmpty()) {
+      (client.awaitsMessage() ? awaiting : idle).add(client);
     }
   }
 
   /**
-   * Returns the connection to evict for a new one, if any may be: one that is silent since before
-   * the given time, else the one that is idle for longest, else the oldest silent one. Newer silent
-   * connections come last, since their first request may be in transit: a request that arrives at a
-   * closed connection is lost to its client.
+   * Returns the connection to evict for a new one, if any may be: one that has been inactive while
+   * a message is awaited since before the given time, else the one that is idle for longest, else
+   * the one that awaits a message for longest. The last kind comes last, since its message may be
+   * in transit: a request that arrives at a closed connection is lost to its client.
    */
-  public Optional<ClientConnection> evictable(long silentBeforeNanos) {
-    Optional<ClientConnection> first = first(silent);
-    boolean expired = first.isPresent() && first.get().lastActiveAtNanos < silentBeforeNanos;
+  public Optional<ClientConnection> evictable(long inactiveBeforeNanos) {
+    Optional<ClientConnection> first = first(awaiting);
+    boolean expired = first.isPresent() && first.get().lastActiveAtNanos < inactiveBeforeNanos;
     return expired || idle.isEmpty() ? first : first(idle);
   }
 
   /**
-   * Returns a connection that has been silent, or within a message, since before the first time, or
-   * idle since before the second.
+   * Returns a connection without open requests that has been inactive while a message is awaited
+   * since before the first time, or idle since before the second.
    */
-  public Optional<ClientConnection> overdue(long silentBeforeNanos, long idleBeforeNanos) {
-    return first(silent)
-        .filter(client -> client.lastActiveAtNanos < silentBeforeNanos)
-        .or(
-            () ->
-                first(withinMessage)
-                    .filter(client -> client.messageBegunAtNanos < silentBeforeNanos))
+  public Optional<ClientConnection> overdue(long inactiveBeforeNanos, long idleBeforeNanos) {
+    return first(awaiting)
+        .filter(client -> client.lastActiveAtNanos < inactiveBeforeNanos)
         .or(() -> first(idle).filter(client -> client.lastActiveAtNanos < idleBeforeNanos));
   }
 
--- a/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
@@ -103,6 +103,8 @@
       listener.inputMalformed(session);
     } else if (decoder.partial() && (!wasPartial || uncharged[0] == 0)) {
       listener.messageStarted(session);
+    } else if (decoder.partial()) {
+      listener.messageContinued(session, bytes.length);
     }
   }
 
--- a/gateway/src/main/java/reachloom/gateway/wire/Listener.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Listener.java
@@ -22,6 +22,14 @@
   /** The start of a message was received; the next message received is this one, complete. */
   default void messageStarted(IoSession session) {}
 
+  /**
+   * A further part of the message that {@link #messageStarted} announced was received, and the
+   * message is still incomplete.
+   *
+   * @param bytes the number of bytes received
+   */
+  default void messageContinued(IoSession session, int bytes) {}
+
   /** Malformed input was received; no more input is decoded, and the connection must be closed. */
   default void inputMalformed(IoSession session) {
     session.closeNow();
--- a/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
+++ b/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
@@ -54,6 +54,44 @@
     assertEquals(0, clients.size());
   }
 
+  /** A connection within a slow message was closed together with its open request. */
+  @Test
+  void connectionWithOpenRequestIsNeverOverdue() {
+    ClientConnectionTable clients = new ClientConnectionTable(1);
+    ClientConnection client = new ClientConnection(null, 0);
+    clients.add(client);
+    clients.messageReceived(client, 10);
+    client.openRequests.put(1, null);
+    clients.touch(client, 10);
+    clients.messageBegun(client, 20);
+    assertEquals(Optional.empty(), clients.overdue(1_000, 1_000));
+    assertEquals(Optional.empty(), clients.evictable(1_000));
+    client.openRequests.clear();
+    clients.touch(client, 900);
+    assertEquals(Optional.empty(), clients.overdue(900, 1_000), "within a message, thus not idle");
+    assertSame(client, clients.overdue(901, 0).orElseThrow());
+  }
+
+  /** A message that kept arriving counted as stalled 2 s after its first byte. */
+  @Test
+  void continuedMessageIsActivityUpToItsLongestTime() {
+    ClientConnectionTable clients = new ClientConnectionTable(2);
+    ClientConnection slow = new ClientConnection(null, 0);
+    ClientConnection stalled = new ClientConnection(null, 0);
+    clients.add(slow);
+    clients.add(stalled);
+    clients.messageBegun(slow, 10);
+    clients.messageBegun(stalled, 10);
+    clients.messageContinued(slow, 500);
+    assertSame(stalled, clients.overdue(11, 0).orElseThrow());
+    clients.remove(stalled);
+    assertEquals(Optional.empty(), clients.overdue(500, 1_000));
+    long last = 9 + ClientConnectionTable.MAX_MESSAGE_NANOS;
+    clients.messageContinued(slow, last);
+    clients.messageContinued(slow, last + 1);
+    assertSame(slow, clients.overdue(last + 1, 0).orElseThrow(), "it must end at some time");
+  }
+
   @Test
   void staleHandleFindsNothing() {
     GenerationalSlots<String> slots = new GenerationalSlots<>(2);
--- a/standin/src/main/java/reachloom/standin/ThriftClient.java
+++ b/standin/src/main/java/reachloom/standin/ThriftClient.java
@@ -34,8 +34,7 @@
 
   /** Sends the first half of an execute message; returns its sequence number. */
   public int begin(String statement, String... changes) throws IOException {
-    ByteBuffer call = call(statement, changes);
-    byte[] bytes = Arrays.copyOf(call.array(), call.limit());
+    byte[] bytes = message(statement, changes);
     raw(Arrays.copyOf(bytes, bytes.length / 2));
     rest = Arrays.copyOfRange(bytes, bytes.length / 2, bytes.length);
     return seq;
@@ -46,6 +45,12 @@
     raw(rest);
   }
 
+  /** Returns the bytes of the next execute message, to be sent with {@link #raw}. */
+  public byte[] message(String statement, String... changes) {
+    ByteBuffer call = call(statement, changes);
+    return Arrays.copyOf(call.array(), call.limit());
+  }
+
   private ByteBuffer call(String statement, String... changes) {
     Map<String, String> fields =
         new LinkedHashMap<>(
