The time of a request that arrives in a pause counts from the pause's start

Callers: two of three gateways stood still for 1.8 s; requests sent to them meanwhile were answered Busy 1.3 to 1.7 s after their time, engines were told budgets as much too long, and requests without any time left were forwarded.

Cause: ClientConnections took the time at which the I/O thread had decoded a message for the time of its arrival. What lay in the system's buffers, or in the accept queue, while the process did not run counted as new.

PauseDetector knows the spans in which no thread reported that it ran; PollHistory and AcceptQueue know since when nothing had been found on connections and in the accept queue. Bytes that may have come in a pause count from its start. Java does not tell when bytes arrived, so such a request is answered early by up to the pause, never late.

Evidence: the excess of the budgets equals the time from the send to the end of the pause.

--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -31,7 +31,8 @@
    * A call that has arrived.
    *
    * @param client the connection on which it arrived
-   * @param receivedAtNanos when its last byte was received, on the event loop's clock
+   * @param receivedAtNanos when its last byte was received, on the event loop's clock; if the
+   *     process did not run then, the earliest time at which it may have been received
    */
   record Arrival(ClientConnection client, long receivedAtNanos) {}
 
@@ -211,7 +212,7 @@
       if (Sockets.isEndOfStream(session)) {
         return; // the client is gone: it needs no response, and no request of it may start
       }
-      long receivedAtNanos = loop.now();
+      long receivedAtNanos = Sockets.earliestArrivalNanos(session).orElseGet(loop::now);
       loop.post(bytes, () -> onReceived(session, call, receivedAtNanos));
     }
 
@@ -253,7 +254,7 @@
     client(session)
         .ifPresent(
             client -> {
-              table.messageReceived(client, receivedAtNanos);
+              table.messageReceived(client, loop.now());
               call.dispatch(handler, new Arrival(client, receivedAtNanos));
             });
   }
--- a/gateway/src/main/java/reachloom/gateway/EventLoop.java
+++ b/gateway/src/main/java/reachloom/gateway/EventLoop.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.Semaphore;
 import reachloom.gateway.state.DeadlineQueue;
+import reachloom.pause.PauseDetector;
 import reachloom.time.MonotonicClock;
 
 /**
@@ -12,8 +13,9 @@
  * the order in which they were posted, then the deadlines that are due: messages read from the
  * sockets are handled before the deadlines that depend on them.
  *
- * <p>{@link #post}, {@link #postFirst}, {@link #now}, {@link #queuedBytes} and {@link #end} may be
- * called from any thread; everything else is confined to the thread that executes {@link #run}.
+ * <p>{@link #post}, {@link #postFirst}, {@link #now}, {@link #pauses}, {@link #queuedBytes} and
+ * {@link #end} may be called from any thread; everything else is confined to the thread that
+ * executes {@link #run}.
  */
 public final class EventLoop implements Runnable {
   private static final Logger LOG = System.getLogger(EventLoop.class.getName());
@@ -31,7 +33,7 @@
   /** The longest wait after a stall for the sockets to be read. */
   private static final long MAX_SOCKET_DRAIN_NANOS = 15 * NANOS_PER_MILLI;
 
-  private static final long MAX_WAIT_NANOS = 1_000 * NANOS_PER_MILLI;
+  private static final long MAX_WAIT_NANOS = PauseDetector.REPORT_INTERVAL_NANOS;
 
   /** Bytes of unhandled messages at which reading from the sockets blocks. */
   private static final int MAX_QUEUED_BYTES = 4 << 20;
@@ -39,6 +41,7 @@
   private record Task(Runnable action, int bytes, boolean first) {}
 
   private final MonotonicClock clock = new MonotonicClock();
+  private final PauseDetector pauses = new PauseDetector();
   private final DeadlineQueue deadlines = new DeadlineQueue();
   private final HandoffQueue<Task> queue = new HandoffQueue<>();
   private final Semaphore freeBytes = new Semaphore(MAX_QUEUED_BYTES);
@@ -62,6 +65,11 @@
     return clock.wallClockStep();
   }
 
+  /** Returns the detector to which the loop reports that the process runs. */
+  public PauseDetector pauses() {
+    return pauses;
+  }
+
   /** Returns the queue of all deadlines and timers. */
   public DeadlineQueue deadlines() {
     return deadlines;
@@ -128,7 +136,9 @@
 
   private void runIteration() throws InterruptedException {
     long wakeUpAt = Math.min(deadlines.next(), now() + MAX_WAIT_NANOS);
+    pauses.report(now());
     Task task = queue.poll(Math.max(0, wakeUpAt - now()));
+    pauses.report(now());
     if (now() - wakeUpAt > STALL_THRESHOLD_NANOS) {
       runTasksReadAfterStall(task);
       task = null;
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -92,7 +92,7 @@
     this.scheduler = new GuardedScheduler(scheduler.apply(this));
     int maxClients = config.maxSockets() / SOCKET_SHARE_DIVISOR;
     int maxTransient = maxClients / TRANSIENT_CONNECTION_DIVISOR;
-    sockets = new Sockets(maxClients + maxTransient);
+    sockets = new Sockets(maxClients + maxTransient, loop.pauses());
     closing =
         new LingeringClose(loop, sockets, config.transport().dialTimeoutNanos(), maxTransient);
     engines = engineClient(config.maxSockets() / SOCKET_SHARE_DIVISOR);
--- a/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
@@ -53,7 +53,7 @@
     statementBytes += request.frame.length;
     byId.put(request.id, request);
     client.openRequests.put(request.sequence, request);
-    clients.touch(client, request.receivedAtNanos);
+    clients.touch(client, loop.now());
     return true;
   }
 
--- a/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
@@ -51,7 +51,7 @@
   /** The sequence number of the request on its connection. */
   public final int sequence;
 
-  /** When the last byte of the request was received. */
+  /** When the last byte of the request was received, or may have been at the earliest. */
   public final long receivedAtNanos;
 
   /** When the client stops waiting, or earlier if the gateway shuts down. */
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -7,13 +7,15 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
@@ -26,6 +28,10 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.pause.AcceptQueue;
+import reachloom.pause.PauseDetector;
+import reachloom.pause.PollHistory;
+import reachloom.time.MonotonicClock;
 
 /**
  * All TCP sockets of a gateway, served by Apache MINA with one thread that reads and writes. The
@@ -49,6 +55,17 @@
   private static final AttributeKey END_OF_STREAM_READ =
       new AttributeKey(Sockets.class, "endOfStreamRead");
 
+  /** A time after which a client connection has been established. */
+  private static final AttributeKey ESTABLISHED_AFTER =
+      new AttributeKey(Sockets.class, "establishedAfter");
+
+  /** The number of the first poll that includes a connection. */
+  private static final AttributeKey FIRST_POLL = new AttributeKey(Sockets.class, "firstPoll");
+
+  /** The earliest arrival of the bytes read last; absent if they were read as they arrived. */
+  private static final AttributeKey EARLIEST_ARRIVAL =
+      new AttributeKey(Sockets.class, "earliestArrival");
+
   private final ExecutorService threads =
       Executors.newCachedThreadPool(
           r -> {
@@ -57,6 +74,8 @@
             return t;
           });
   private final LocalFailures failures = new LocalFailures();
+  private final MonotonicClock clock = new MonotonicClock();
+  private final PauseDetector pauses;
   private final HalfClosingProcessor processor = new HalfClosingProcessor(threads);
   private final BoundedAcceptor acceptor;
   private final List<NioSocketConnector> connectors = new CopyOnWriteArrayList<>();
@@ -68,10 +87,32 @@
    * closes the connection is handled.
    */
   private final class HalfClosingProcessor extends NioProcessor {
+    private final PollHistory history = new PollHistory(clock.now());
+    private long polls;
+
     HalfClosingProcessor(Executor threads) {
       super(threads);
     }
 
+    @Override
+    protected int select(long timeoutMs) throws Exception {
+      long beganAtNanos = clock.now();
+      int selected = super.select(timeoutMs);
+      history.waited(beganAtNanos, clock.now());
+      polls++;
+      return selected;
+    }
+
+    @Override
+    protected void init(NioSession session) throws Exception {
+      super.init(session);
+      session.setAttribute(FIRST_POLL, polls + 1);
+      Long establishedAfter = acceptor.holders.get(session);
+      if (establishedAfter != null) {
+        session.setAttribute(ESTABLISHED_AFTER, establishedAfter);
+      }
+    }
+
     @Override
     protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
       try {
@@ -100,6 +141,9 @@
         failures.pause("read", e);
         return 0; // the available bytes can still be read
       }
+      if (read > 0) {
+        recordArrival(session);
+      }
       if (read == END_OF_STREAM) {
         session.setAttribute(END_OF_STREAM_READ);
       } else if (!buffer.hasRemaining() && buffer.capacity() < MAX_SINGLE_READ_BYTES) {
@@ -108,6 +152,26 @@
       return read;
     }
 
+    /** Records when the bytes that were just read may have arrived at the earliest. */
+    private void recordArrival(IoSession session) {
+      long now = clock.now();
+      long earliest = pauses.earliestArrival(arrivedAfterNanos(session), now);
+      if (earliest < now) {
+        session.setAttribute(EARLIEST_ARRIVAL, earliest);
+      } else {
+        session.removeAttribute(EARLIEST_ARRIVAL);
+      }
+    }
+
+    /** Returns a time at which the bytes that were just read had not arrived. */
+    private long arrivedAfterNanos(IoSession session) {
+      boolean isFirstPoll =
+          session.getAttribute(FIRST_POLL) instanceof Long first && first == polls;
+      return isFirstPoll && session.getAttribute(ESTABLISHED_AFTER) instanceof Long after
+          ? after
+          : history.arrivedAfterNanos();
+    }
+
     private void shutdownOutput(IoSession session) {
       for (SelectionKey key : selector.keys()) {
         if (key.attachment() == session && key.channel() instanceof SocketChannel channel) {
@@ -140,11 +204,26 @@
     return session.containsAttribute(END_OF_STREAM_READ);
   }
 
+  /**
+   * Returns the earliest time at which the bytes of a connection that were read last may have
+   * arrived, in nanoseconds on the monotonic clock. It differs from the time of the read if the
+   * process did not run in between. To be called on the thread that serves the sockets, while it
+   * passes these bytes on.
+   */
+  public static OptionalLong earliestArrivalNanos(IoSession session) {
+    return session.getAttribute(EARLIEST_ARRIVAL) instanceof Long earliest
+        ? OptionalLong.of(earliest)
+        : OptionalLong.empty();
+  }
+
   /**
    * Creates sockets with at most {@code maxClients} client connections; further connections wait in
    * the accept queue of the operating system.
+   *
+   * @param pauses detects when the process does not run
    */
-  public Sockets(int maxClients) {
+  public Sockets(int maxClients, PauseDetector pauses) {
+    this.pauses = pauses;
     acceptor = new BoundedAcceptor(maxClients);
   }
 
@@ -157,13 +236,52 @@
   private final class BoundedAcceptor extends NioSocketAcceptor {
     private final int maxHeld;
     private final AtomicInteger held = new AtomicInteger();
-    private final Set<IoSession> holders = ConcurrentHashMap.newKeySet();
+
+    /**
+     * The connections that count towards the limit, with a time after which each was established.
+     */
+    private final Map<IoSession, Long> holders = new ConcurrentHashMap<>();
+
+    private final AcceptQueue queue = new AcceptQueue(BACKLOG, clock.now());
+
+    /** The number of calls of {@link #wakeup}, and how many of them a select has followed. */
+    private final AtomicLong wakeups = new AtomicLong();
+
+    private long handledWakeups;
 
     BoundedAcceptor(int maxHeld) {
       super(threads, processor);
       this.maxHeld = maxHeld;
     }
 
+    @Override
+    protected void wakeup() {
+      wakeups.incrementAndGet();
+      super.wakeup();
+    }
+
+    /**
+     * Polls the accept queue before it waits for connections, to know when the queue was empty. The
+     * poll may take the effect of a wake-up, so the call does not wait after one.
+     */
+    @Override
+    protected int select() throws Exception {
+      long polledAtNanos = clock.now();
+      int selected = selector.selectNow();
+      if (selected > 0) {
+        return selected;
+      }
+      queue.empty(polledAtNanos);
+      long requestedWakeups = wakeups.get();
+      if (requestedWakeups != handledWakeups) {
+        handledWakeups = requestedWakeups;
+        return 0;
+      }
+      selected = super.select();
+      queue.waited(polledAtNanos, clock.now());
+      return selected;
+    }
+
     @Override
     protected NioSession accept(IoProcessor<NioSession> of, ServerSocketChannel channel)
         throws Exception {
@@ -174,7 +292,8 @@
       NioSession session = acceptOrPause(of, channel);
       if (session != null) {
         held.incrementAndGet();
-        holders.add(session);
+        holders.put(session, queue.establishedAfterNanos());
+        queue.accepted(clock.now());
         session.getCloseFuture().addListener(f -> release(session));
       }
       return session;
@@ -195,7 +314,7 @@
     }
 
     private void release(IoSession session) {
-      if (holders.remove(session)) {
+      if (holders.remove(session) != null) {
         held.decrementAndGet();
       }
     }
--- a/gateway/src/test/java/reachloom/gateway/EngineConnectTest.java
+++ b/gateway/src/test/java/reachloom/gateway/EngineConnectTest.java
@@ -10,6 +10,7 @@
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.junit.jupiter.api.Test;
 import reachloom.gateway.wire.Sockets;
+import reachloom.pause.PauseDetector;
 
 /** Guards against a connect that succeeds just as it is abandoned and then blocks later ones. */
 class EngineConnectTest {
@@ -19,7 +20,7 @@
   void abandonedConnectDoesNotBlockLaterConnects() throws Exception {
     CountDownLatch begun = new CountDownLatch(1);
     CountDownLatch resume = new CountDownLatch(1);
-    Sockets sockets = new Sockets(4);
+    Sockets sockets = new Sockets(4, new PauseDetector());
     try (PausedPeer first = new PausedPeer();
         PausedPeer late = new PausedPeer();
         PausedPeer next = new PausedPeer()) {
--- a/gateway/src/test/java/reachloom/gateway/RecordingEngine.java
+++ b/gateway/src/test/java/reachloom/gateway/RecordingEngine.java
@@ -29,6 +29,9 @@
   private final String heldClass;
   private final MonotonicClock clock = new MonotonicClock();
 
+  /** The interval of progress reports for held requests in milliseconds; 0 for none. */
+  volatile long noteIntervalMs;
+
   /** Creates an engine that never responds to a class, and to others with {@link #PAGES} pages. */
   RecordingEngine(String heldClass) throws IOException {
     this.heldClass = heldClass;
@@ -67,6 +70,8 @@
           page(connection, words[1] + " OK fetches=" + PAGES);
         } else if (words[0].equals("NEXT")) {
           page(connection, words[1] + " ROWS fetch_no=" + words[2]);
+        } else if (words[0].equals("ASK") && noteIntervalMs > 0) {
+          FakeEngine.daemon(() -> reportProgress(connection, words[1]));
         }
       }
     } catch (IOException e) {
@@ -74,6 +79,19 @@
     }
   }
 
+  private void reportProgress(PausedPeer.Connection connection, String id) {
+    try {
+      while (true) {
+        connection.write(id + " NOTE detail=so_far,figure=0.1 0\r\n\r\n");
+        Thread.sleep(noteIntervalMs);
+      }
+    } catch (IOException e) {
+      // the connection is gone
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void page(PausedPeer.Connection connection, String head) throws IOException {
     connection.write(head + " " + PAGE.length() + "\r\n" + PAGE + "\r\n");
   }
--- a/gateway/src/test/java/reachloom/gateway/wire/SocketsTest.java
+++ b/gateway/src/test/java/reachloom/gateway/wire/SocketsTest.java
@@ -14,6 +14,7 @@
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.Test;
+import reachloom.pause.PauseDetector;
 
 /** The limit of client connections that {@link Sockets} holds. */
 class SocketsTest {
@@ -24,7 +25,7 @@
       address = (InetSocketAddress) free.getLocalSocketAddress();
     }
     LinkedBlockingQueue<IoSession> opened = new LinkedBlockingQueue<>();
-    Sockets sockets = new Sockets(4);
+    Sockets sockets = new Sockets(4, new PauseDetector());
     sockets.listen(
         address,
         new IoHandlerAdapter() {
--- a/lab/src/test/java/reachloom/gateway/EngineList.java
+++ b/lab/src/test/java/reachloom/gateway/EngineList.java
@@ -20,7 +20,7 @@
   /** Creates an empty list. */
   public EngineList() {
     EventLoop loop = new EventLoop();
-    Sockets sockets = new Sockets(MAX_CLIENTS);
+    Sockets sockets = new Sockets(MAX_CLIENTS, loop.pauses());
     engines =
         new EngineClient(
             loop,
