Answers after SIGTERM are due from the signal's earliest arrival, not its handling

Callers: a gateway that stood still for 1.8 s as SIGTERM came would have answered its open requests 5.1 s after the signal; SIGKILL came at 3.7 s, and ten of ten requests were never answered.

Cause: GatewayServer.shutDown counted 3.4 s from when the loop heard of the signal. A pending signal is handled only when the process runs again.

Change: the thread that handles SIGTERM asks PauseDetector for the earliest arrival of the signal, and the last answers count from it. Requests are admitted for 0.7 s from the handling, as before: clients may go on that long. docs/architecture.md has a table of what each span counts from; the retry budget in it is open.

--- a/gateway/src/main/java/reachloom/gateway/lifecycle/GatewayServer.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/GatewayServer.java
@@ -19,6 +19,7 @@
 import reachloom.gateway.GatewayService;
 import reachloom.gossip.net.GossipNode;
 import reachloom.gossip.net.NodeIdentity;
+import reachloom.pause.PauseDetector;
 import reachloom.scheduler.QueryScheduler;
 import reachloom.scheduler.api.QueryClass;
 import sun.misc.Signal;
@@ -199,7 +200,7 @@
     }
     ready = true;
     if (stopWhenReady) {
-      shutDown();
+      shutDown(loop.now());
     } else if (!stopping) {
       gateway.setReady(true);
       LOG.log(
@@ -289,7 +290,8 @@
    * with the server's exit status, or after 1 minute with 1.
    */
   private void onTerminate() {
-    loop.post(0, this::shutDown);
+    long terminatedAtNanos = earliestSignalNanos();
+    loop.post(0, () -> shutDown(terminatedAtNanos));
     try {
       boolean clean = stopped.await(1, TimeUnit.MINUTES);
       System.err.flush();
@@ -299,8 +301,21 @@
     }
   }
 
-  /** Stops being ready, and continues to admit and serve requests for a while. */
-  private void shutDown() {
+  /**
+   * Returns the earliest time at which the signal that is handled now may have arrived: if the
+   * process did not run, the signal was pending.
+   */
+  private long earliestSignalNanos() {
+    long now = loop.now();
+    return loop.pauses().earliestArrival(now - PauseDetector.MAX_WAKE_UP_DELAY_NANOS, now);
+  }
+
+  /**
+   * Stops being ready, and continues to admit and serve requests for a while. Requests arrive for a
+   * time that counts from now, since the signal may just have arrived; the responses are due by a
+   * time that counts from its earliest arrival.
+   */
+  private void shutDown(long terminatedAtNanos) {
     if (stopping) {
       return;
     }
@@ -308,7 +323,8 @@
     long now = loop.now();
     long longestDeadline =
         config.settings().classes().stream().mapToLong(QueryClass::deadlineNanos).max().orElse(0);
-    long respondBy = now + Math.min(longestDeadline, MAX_DEADLINE_NANOS) + RESPONSE_MARGIN_NANOS;
+    long respondBy =
+        terminatedAtNanos + Math.min(longestDeadline, MAX_DEADLINE_NANOS) + RESPONSE_MARGIN_NANOS;
     LOG.log(
         Level.INFO, "{0} shuts down with {1} open requests", config.name(), gateway.openRequests());
     gateway.setReady(false);
--- a/gateway/src/test/java/reachloom/gateway/PausedProcessTest.java
+++ b/gateway/src/test/java/reachloom/gateway/PausedProcessTest.java
@@ -41,6 +41,16 @@
   /** What a busy machine may take from the remaining time of a request before it is forwarded. */
   private static final long TOLERANCE_MS = 1_000;
 
+  /** Longer than a gateway runs on after SIGTERM. */
+  private static final long LONG_LIMIT_MS = 16_000;
+
+  /** SIGKILL follows SIGTERM no sooner than this, for deadlines of 3 s and longer. */
+  private static final long MIN_KILL_DELAY_MS = 3_700;
+
+  /** After SIGTERM, requests arrive for up to this long. */
+  private static final long MIN_DRAIN_TIME_MS = 600;
+
+  private static final long POLL_INTERVAL_MS = 5;
   private static final String HELD_CLASS = "quick";
 
   /** After a pause, a process counts what it notices as possibly older for less than this. */
@@ -149,6 +159,45 @@
     assertEquals(0, engine.count("ASK"));
   }
 
+  /** SIGTERM in a pause counted from its end, and the last responses came only after SIGKILL. */
+  @Test
+  void answersBeforeKillWhenTerminatedInPause() throws Exception {
+    sendOnAllConnections(LONG_LIMIT_MS);
+    while (engine.count("ASK") < clients.size()) {
+      Thread.sleep(POLL_INTERVAL_MS);
+    }
+    long suspendedAtMs = nowMs();
+    gateway.suspend();
+    Thread.sleep(PAUSE_MS / 10);
+    gateway.terminate();
+    long terminatedAtMs = nowMs();
+    Thread.sleep(Math.max(0, suspendedAtMs + PAUSE_MS - nowMs()));
+    gateway.resume();
+    for (ThriftClient client : clients) {
+      assertEquals("FAILED", client.reply().kind());
+    }
+    long respondedMs = nowMs() - terminatedAtMs;
+    assertTrue(respondedMs < MIN_KILL_DELAY_MS, "answered " + respondedMs + " ms after SIGTERM");
+    assertEquals(0, gateway.exit());
+  }
+
+  /** Requests that arrive after the pause still get a response, as after any SIGTERM. */
+  @Test
+  void admitsRequestsAfterPauseInWhichItWasTerminated() throws Exception {
+    gateway.suspend();
+    gateway.terminate();
+    Thread.sleep(PAUSE_MS);
+    gateway.resume();
+    Thread.sleep(MIN_DRAIN_TIME_MS / 2);
+    sendOnAllConnections(LONG_LIMIT_MS);
+    for (ThriftClient client : clients) {
+      String kind = client.reply().kind();
+      assertTrue(kind.equals("BUSY") || kind.equals("FAILED"), kind);
+    }
+    assertEquals(clients.size(), engine.count("ASK"), "they are forwarded as before SIGTERM");
+    assertEquals(0, gateway.exit());
+  }
+
   /** A pause must not shorten the time of requests that arrive after it. */
   @Test
   void timeOfRequestsSentAfterPauseIsNotShortened() throws Exception {
