The retry budget counts queries that came in a pause by their arrival

Callers: none seen for certain; an operator's rule.

Queries of a pause of 2 s stayed in the window 2 s too long, and retries could exceed the budget by its share of these queries.

Change: Query has the age at which it is noticed, RetryBudget counts it by its arrival, SlidingWindowSum takes values that are noticed late. The simulator's adapter and all other callers pass no age; decisions there are as before.

All tests of decisions pass.

--- a/decisions/src/main/java/reachloom/scheduler/QueryScheduler.java
+++ b/decisions/src/main/java/reachloom/scheduler/QueryScheduler.java
@@ -92,7 +92,7 @@
   @Override
   public void onQuery(long nowNanos, Query query) {
     QueryRecord added = parts.queries.add(nowNanos, query);
-    parts.retryBudget.onQuery(nowNanos);
+    parts.retryBudget.onQuery(nowNanos, query);
     parts.healthChecks.onQuery(nowNanos);
     parts.quotas.onQuery(nowNanos, added);
     parts.estimator.onQuery(added);
--- a/decisions/src/main/java/reachloom/scheduler/RetryBudget.java
+++ b/decisions/src/main/java/reachloom/scheduler/RetryBudget.java
@@ -1,5 +1,6 @@
 package reachloom.scheduler;
 
+import reachloom.scheduler.api.Query;
 import reachloom.scheduler.api.SchedulerSettings;
 import reachloom.scheduler.api.SchedulingRules;
 import reachloom.scheduler.state.SlidingWindowSum;
@@ -25,9 +26,9 @@
     retries = new SlidingWindowSum(rules.retryBudgetWindowNanos() + margin);
   }
 
-  /** Counts a query that has just arrived. */
-  void onQuery(long nowNanos) {
-    queries.add(nowNanos, 1);
+  /** Counts a query by its arrival, which may have been noticed late. */
+  void onQuery(long nowNanos, Query query) {
+    queries.addLate(nowNanos - query.ageNanos(), nowNanos, 1);
   }
 
   @Override
--- a/decisions/src/main/java/reachloom/scheduler/api/Query.java
+++ b/decisions/src/main/java/reachloom/scheduler/api/Query.java
@@ -13,6 +13,8 @@
  * @param estimatedMemoryMb estimated memory, in MB
  * @param tableGroup the group of tables that it reads, or -1
  * @param clientRetry whether the client has sent the query before
+ * @param ageNanos time since the query arrived, at the longest; over 0 if the front end noticed it
+ *     late
  */
 public record Query(
     String id,
@@ -23,4 +25,29 @@
     long estimatedCostNanos,
     double estimatedMemoryMb,
     int tableGroup,
-    boolean clientRetry) {}
+    boolean clientRetry,
+    long ageNanos) {
+  /** Creates a query that has just arrived. */
+  public Query(
+      String id,
+      int queryClass,
+      int tenant,
+      String key,
+      long remainingNanos,
+      long estimatedCostNanos,
+      double estimatedMemoryMb,
+      int tableGroup,
+      boolean clientRetry) {
+    this(
+        id,
+        queryClass,
+        tenant,
+        key,
+        remainingNanos,
+        estimatedCostNanos,
+        estimatedMemoryMb,
+        tableGroup,
+        clientRetry,
+        0);
+  }
+}
--- a/decisions/src/main/java/reachloom/scheduler/state/SlidingWindowSum.java
+++ b/decisions/src/main/java/reachloom/scheduler/state/SlidingWindowSum.java
@@ -1,6 +1,7 @@
 package reachloom.scheduler.state;
 
 import java.util.ArrayDeque;
+import java.util.Deque;
 
 /** A sum over a sliding window of time; values that leave the window are dropped. */
 public final class SlidingWindowSum {
@@ -22,6 +23,22 @@
     sum += value;
   }
 
+  /**
+   * Adds a value that was noticed late, with the time to which it belongs.
+   *
+   * @param addedAtNanos when it would have been added, at most {@code nowNanos}
+   */
+  public void addLate(long addedAtNanos, long nowNanos, double value) {
+    sum(nowNanos);
+    Deque<Entry> later = new ArrayDeque<>();
+    while (!entries.isEmpty() && entries.peekLast().addedAtNanos() > addedAtNanos) {
+      later.addFirst(entries.removeLast());
+    }
+    entries.addLast(new Entry(addedAtNanos, value));
+    entries.addAll(later);
+    sum += value;
+  }
+
   /** The sum of the values that were added within the window that ends at the given time. */
   public double sum(long nowNanos) {
     while (!entries.isEmpty() && entries.peekFirst().addedAtNanos() < nowNanos - windowNanos) {
--- a/gateway/src/main/java/reachloom/gateway/RequestHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestHandler.java
@@ -142,7 +142,8 @@
         0,
         0,
         TableGroup.of(call.statement()),
-        false);
+        false,
+        Math.max(0, now - request.receivedAtNanos));
   }
 
   @Override
