--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -55,10 +55,6 @@
   private static final AttributeKey END_OF_STREAM_READ =
       new AttributeKey(Sockets.class, "endOfStreamRead");
 
-  /** A time after which a client connection has been established. */
-  private static final AttributeKey ESTABLISHED_AFTER =
-      new AttributeKey(Sockets.class, "establishedAfter");
-
   /** The number of the first poll that includes a connection. */
   private static final AttributeKey FIRST_POLL = new AttributeKey(Sockets.class, "firstPoll");
 
@@ -107,10 +103,6 @@
     protected void init(NioSession session) throws Exception {
       super.init(session);
       session.setAttribute(FIRST_POLL, polls + 1);
-      Long establishedAfter = acceptor.holders.get(session);
-      if (establishedAfter != null) {
-        session.setAttribute(ESTABLISHED_AFTER, establishedAfter);
-      }
     }
 
     @Override
@@ -167,9 +159,8 @@
     private long arrivedAfterNanos(IoSession session) {
       boolean isFirstPoll =
           session.getAttribute(FIRST_POLL) instanceof Long first && first == polls;
-      return isFirstPoll && session.getAttribute(ESTABLISHED_AFTER) instanceof Long after
-          ? after
-          : history.arrivedAfterNanos();
+      Long establishedAfter = isFirstPoll ? acceptor.holders.get(session) : null;
+      return establishedAfter != null ? establishedAfter : history.arrivedAfterNanos();
     }
 
     private void shutdownOutput(IoSession session) {
