Scale run counts list changes that a gateway reloads with its configuration

Cause: a hollow gateway behind a partition gets the result of the missed list events with a reloaded configuration, as a complete list, and never the events themselves. The rig counted events only, so that it took them for missing for ever. Whether the configuration was issued before or after the engines were replaced depended on how long writing its files took.

Change: a gateway whose reload brought a newer list tells the last event that it contains; from then on it counts for this list, as after a start, and the changes that it lacked are in force at that time.

--- a/lab/src/main/java/reachloom/lab/scale/EndpointListWatcher.java
+++ b/lab/src/main/java/reachloom/lab/scale/EndpointListWatcher.java
@@ -4,15 +4,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Records when each change of the endpoint list had reached all synthetic gateways; for gateways
  * that are processes of the program this can't be observed from outside. Times are in milliseconds.
  */
 final class EndpointListWatcher {
+  /** Separates the keys of events in one text. */
+  static final String KEY_SEPARATOR = ",";
+
   private static final class ListChange {
     private final long number;
     private final long announcedAt;
+    private long reloadedAt;
     private final Map<Integer, long[]> countAndTimeByProcess = new LinkedHashMap<>();
 
     ListChange(long number, long announcedAt) {
@@ -25,14 +30,16 @@
     }
 
     long latest() {
-      return countAndTimeByProcess.values().stream().mapToLong(s -> s[1]).max().orElse(0);
+      long receivedAt =
+          countAndTimeByProcess.values().stream().mapToLong(s -> s[1]).max().orElse(0);
+      return Math.max(receivedAt, reloadedAt);
     }
   }
 
   private final Map<String, ListChange> changes = new LinkedHashMap<>();
 
-  /** The last event that each gateway's list contained at its start. */
-  private final Map<Integer, Long> startEvents = new LinkedHashMap<>();
+  /** The last event of the complete list with which each gateway started, or that it reloaded. */
+  private final Map<Integer, Long> completeListEvents = new LinkedHashMap<>();
 
   private final List<Long> healTimes = new ArrayList<>();
 
@@ -46,21 +53,41 @@
 
   /** Records that a gateway started with the list as of the given event. */
   synchronized void started(int gateway, long event) {
-    startEvents.put(gateway, event);
+    completeListEvents.put(gateway, event);
+  }
+
+  /**
+   * Records that a running gateway received a complete list as of the given event, and with it all
+   * changes up to it that it had not received one by one.
+   */
+  synchronized void reloaded(int gateway, long event, long at, Set<String> receivedKeys) {
+    Long eventBefore = completeListEvents.get(gateway);
+    if (eventBefore == null) {
+      return; // the gateway has ended meanwhile
+    }
+    changes.forEach(
+        (key, change) -> {
+          boolean isContained = change.number > eventBefore && change.number <= event;
+          if (isContained && !receivedKeys.contains(key)) {
+            change.reloadedAt = Math.max(change.reloadedAt, at);
+          }
+        });
+    completeListEvents.put(gateway, event);
   }
 
   /** Records that a gateway has ended. */
   synchronized void ended(int gateway) {
-    startEvents.remove(gateway);
+    completeListEvents.remove(gateway);
   }
 
-  /** Returns how many gateways received the change or started with a list that contained it. */
+  /** Returns how many gateways received the change or a complete list that contained it. */
   private long count(ListChange change) {
-    return change.count() + startEvents.values().stream().filter(f -> f >= change.number).count();
+    return change.count()
+        + completeListEvents.values().stream().filter(f -> f >= change.number).count();
   }
 
   /**
-   * Records how many gateways of a helper process have received a change since their initial list,
+   * Records how many gateways of a helper process have received a change since their complete list,
    * and when the last of them did.
    */
   synchronized void recordReceived(int process, String key, int count, long latest) {
--- a/lab/src/main/java/reachloom/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/reachloom/lab/scale/ScaleRun.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
@@ -402,10 +403,21 @@
               words[1] + " " + words[2] + " " + words[3],
               Integer.parseInt(words[4]),
               Long.parseLong(words[5]));
+      case "reloaded" -> handleReloadedList(line);
       default -> resourceMonitor.onSyntheticUsage(process, words);
     }
   }
 
+  private void handleReloadedList(String line) {
+    String[] words = line.split(" ", 5); // the last word is the keys, which contain spaces
+    Set<String> receivedKeys = Set.of(words[4].split(EndpointListWatcher.KEY_SEPARATOR));
+    endpointLists.reloaded(
+        Integer.parseInt(words[1]),
+        Long.parseLong(words[2]),
+        Long.parseLong(words[3]),
+        receivedKeys);
+  }
+
   @Override
   public void begin(HistoryChecker checker, long start, long end) {
     history = checker;
--- a/lab/src/test/java/reachloom/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/reachloom/lab/scale/ScaleRunTest.java
@@ -109,6 +109,26 @@
     }
   }
 
+  /** The partitioned gateways miss the replacement and get its result with the configuration. */
+  @Test
+  void countsListChangesThatReloadedConfigurationContains() throws Exception {
+    ScaleRun.Size size =
+        new ScaleRun.Size(
+            7, 1, 12, 3, 6, 3, 12, 10, 1, 6, 24, false, PERIOD_NANOS, MAX_BYTES_PER_S, 3);
+    try (ScaleRun run = new ScaleRun(size, folder, null)) {
+      Map<String, Object> f =
+          run.play(
+              script(
+                  "<regions at='1' do='part' for='8'/>",
+                  "<engines at='1.5' do='replace' share='0.1'/>",
+                  "<configuration at='8' do='issue'/>"));
+      assertRunSound(f, 7);
+      assertTrue(((Number) f.get("list_changes")).intValue() > 0, f.toString());
+      assertEquals(0L, f.get("config_never"), f.toString());
+      assertEquals(0L, f.get("list_never"), f.toString());
+    }
+  }
+
   @Test
   void gatewaysFollowControlMachinesOfRegionEvenly() {
     ScaleRun.Size size =
