--- a/lab/src/main/java/reachloom/lab/cluster/EngineHosts.java
+++ b/lab/src/main/java/reachloom/lab/cluster/EngineHosts.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -27,6 +29,7 @@
  * link are delivered once the cut ends, unless the connection was closed meanwhile.
  */
 public final class EngineHosts implements AutoCloseable {
+  private static final Pattern BUDGET = Pattern.compile("budget=(\\d{1,12})");
   private static final int SOCKET_THREADS = 3;
   private static final int BACKLOG = 1_024;
   private static final int READ_BUFFER_BYTES = 2_048;
@@ -290,6 +293,13 @@
     return Math.round(value * 1e4) / 1e4;
   }
 
+  private void recordBudget(HistoryChecker.Attempt attempt, EngineCommand command) {
+    Matcher budget = BUDGET.matcher(command.rest());
+    if (attempt != null && budget.find()) {
+      checker.budgetReceived(attempt, Long.parseLong(budget.group(1)));
+    }
+  }
+
   private void runQuery(GatewayConnection c, EngineCommand command, long sentAt) {
     String id = command.id();
     Workload.Arrival a = Clients.read(command);
@@ -341,6 +351,7 @@
                   }
                 });
     recorded[0] = checker.attemptReceived(a.number(), e.id, -1, model.time.now(), sentAt, runs);
+    recordBudget(recorded[0], command);
     if (runs && recorded[0] != null) {
       c.open.put(id, recorded[0]);
     } else if (e.condition() != Condition.DOWN) {
--- a/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
+++ b/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
@@ -139,8 +139,9 @@
                 }
               }
               default -> {
+                checker.halted(
+                    g, true); // first, since the signal takes effect before the call ends
                 gateways.halt(g, true);
-                checker.halted(g, true);
                 schedule(
                     fault.length(),
                     () -> {
--- a/lab/src/main/java/reachloom/lab/cluster/HistoryChecker.java
+++ b/lab/src/main/java/reachloom/lab/cluster/HistoryChecker.java
@@ -21,6 +21,10 @@
   private static final long SLACK = 50 * ClusterPlan.MILLISECOND;
 
   private static final int MAX_REPORTED_VIOLATIONS = 20;
+
+  /** An engine may be told this much more than the client's remaining time. */
+  private static final long MAX_EXCESS_BUDGET_MS = 150;
+
   private static final long MAX_LATENCY_MICROS = 60_000_000;
 
   /** How a query ended for its client. */
@@ -101,9 +105,7 @@
       double p50,
       double p99) {}
 
-  private record Interval(long from, long to) {}
-
-  /** Two zones, a zone and an engine, or a gateway and -1. */
+  /** Two zones, or a zone and an engine. */
   private record Key(int a, int b) {}
 
   private final ClusterModel model;
@@ -116,10 +118,8 @@
    */
   private final List<Arrival> unplaced = new ArrayList<>();
 
-  private final Map<Key, List<Interval>> halts = new HashMap<>();
-  private final Map<Key, List<Interval>> cuts = new HashMap<>();
-  private final Map<Key, Long> openHalts = new HashMap<>();
-  private final Map<Key, Long> openCuts = new HashMap<>();
+  private final FaultIntervals<Integer> haltedGateways = new FaultIntervals<>();
+  private final FaultIntervals<Key> impairedLinks = new FaultIntervals<>();
   private final Map<Key, Long> drainDeliveredAt = new HashMap<>();
   private final Map<Key, Long> readyDeliveredAt = new HashMap<>();
 
@@ -138,6 +138,8 @@
   private volatile int pendingAnswers;
   private int refusedWhileIdle;
   private int overloadFailures;
+  private long maxExcessBudgetMs;
+  private int excessiveBudgets;
 
   /** Creates a checker of the events in a cluster model from a time on. */
   public HistoryChecker(ClusterModel model, long start) {
@@ -221,22 +223,12 @@
 
   /** Records the start or the end of a gateway's halt. */
   void halted(int gateway, boolean now) {
-    recordInterval(halts, openHalts, new Key(gateway, -1), now);
+    haltedGateways.record(gateway, now, model.time.now());
   }
 
   /** Records the start or the end of an impairment of the link between two zones. */
   public void impaired(int from, int to, boolean now) {
-    recordInterval(cuts, openCuts, new Key(from, to), now);
-  }
-
-  private void recordInterval(
-      Map<Key, List<Interval>> to, Map<Key, Long> open, Key key, boolean now) {
-    if (now) {
-      open.putIfAbsent(key, model.time.now());
-    } else if (open.containsKey(key)) {
-      to.computeIfAbsent(key, p -> new ArrayList<>())
-          .add(new Interval(open.remove(key), model.time.now()));
-    }
+    impairedLinks.record(new Key(from, to), now, model.time.now());
   }
 
   // ---- Engines' events ----
@@ -273,6 +265,17 @@
     return t;
   }
 
+  /**
+   * Records how much time an engine was told that an attempt has, in milliseconds. What it is told
+   * beyond the client's remaining time includes the attempt's way to the engine.
+   */
+  void budgetReceived(Attempt t, long budgetMs) {
+    long leftNanos = t.query.arrival.at() + t.query.arrival.of().deadline() - t.at;
+    long excessMs = budgetMs - leftNanos / ClusterPlan.MILLISECOND;
+    maxExcessBudgetMs = Math.max(maxExcessBudgetMs, excessMs);
+    excessiveBudgets += excessMs > MAX_EXCESS_BUDGET_MS ? 1 : 0;
+  }
+
   /** Records that an attempt has ended or was cancelled at its engine. */
   public void attemptEnded(Attempt t, long now) {
     if (t != null && t.endAt == Long.MAX_VALUE) {
@@ -345,16 +348,8 @@
   }
 
   private boolean impairedSince(Attempt t) {
-    Key key = new Key(plan.zoneOf(t.gateway), plan.zoneOfEngine(t.engine));
-    return openCuts.containsKey(key)
-        || halted(t.gateway, t.at, Long.MAX_VALUE)
-        || cuts.getOrDefault(key, List.of()).stream().anyMatch(s -> s.to > t.at);
-  }
-
-  private boolean halted(int gateway, long from, long to) {
-    return openHalts.containsKey(new Key(gateway, -1))
-        || halts.getOrDefault(new Key(gateway, -1), List.of()).stream()
-            .anyMatch(s -> s.from < to && s.to > from);
+    Key link = new Key(plan.zoneOf(t.gateway), plan.zoneOfEngine(t.engine));
+    return impairedLinks.impairedSince(link, t.at) || haltedGateways.impairedSince(t.gateway, t.at);
   }
 
   private void onOverload(EngineModel e) {
@@ -387,17 +382,23 @@
   /** Checks the rules that can be checked only after the run. */
   private void checkAtEnd(long now) {
     for (QueryRecord q : queries.values()) {
-      long limit = q.arrival.at() + q.arrival.of().deadline() + SLACK;
-      boolean halted = halted(q.gateway, q.arrival.at(), limit);
-      if (q.answers == 0 && !q.gatewayKilled && limit < now && !halted) {
+      long latest = latestAnswer(q);
+      if (q.answers == 0 && !q.gatewayKilled && latest < now) {
         recordViolation("unanswered", q.arrival.number());
-      } else if (q.answers > 0 && q.answeredAt > limit && !halted) {
+      } else if (q.answers > 0 && q.answeredAt > latest) {
         recordViolation("answered too late", q.arrival.number());
       }
     }
     byGateway.values().forEach(this::checkFurther);
   }
 
+  /** Returns when a query must be answered: a gateway that is halted then, once it runs again. */
+  private long latestAnswer(QueryRecord q) {
+    long limit = q.arrival.at() + q.arrival.of().deadline() + SLACK;
+    long runsAt = haltedGateways.recoveredAt(q.gateway, limit);
+    return runsAt == limit || runsAt == Long.MAX_VALUE ? runsAt : runsAt + SLACK;
+  }
+
   /**
    * Checks the number of further attempts of one gateway within each window against the number of
    * queries that it accepted in the window; reports at most one violation for the gateway.
@@ -488,6 +489,8 @@
                         .max()
                         .orElse(0))
             / 1e3);
+    f.put("budget_excess_ms_max", maxExcessBudgetMs);
+    f.put("budgets_too_long", excessiveBudgets);
     f.put("rules_broken", broken.values().stream().mapToInt(i -> i).sum());
     if (!broken.isEmpty()) {
       f.put("broken", new TreeMap<>(broken));
--- a/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/reachloom/lab/fleet/FleetCommand.java
@@ -10,6 +10,7 @@
 import org.apache.commons.cli.ParseException;
 import reachloom.lab.cluster.ClusterPlan;
 import reachloom.lab.cluster.FaultSchedule;
+import reachloom.lab.cluster.PauseSchedule;
 import reachloom.lab.cluster.ProcessFleet;
 import reachloom.lab.command.Arguments;
 import reachloom.lab.command.Command;
@@ -54,7 +55,11 @@
             true,
             "maximum offset of a gateway's clock, in simulated time (0)")
         .addOption(null, "report-age-ms", true, "additional age of load reports (0)")
-        .addOption(null, "script", true, "a file, or one of " + FaultSchedule.NAMED + " (calm)")
+        .addOption(
+            null,
+            "script",
+            true,
+            "a file, pauses (drawn by the seed), or one of " + FaultSchedule.NAMED + " (calm)")
         .addOption(
             null,
             "policy",
@@ -88,12 +93,7 @@
             Arguments.number(line, "seed", 1, 0, Integer.MAX_VALUE),
             Arguments.number(line, "clocks-apart-ms", 0, 0, 3_600_000) * ClusterPlan.MILLISECOND,
             Arguments.number(line, "report-age-ms", 0, 0, 10_000) * ClusterPlan.MILLISECOND);
-    FaultSchedule script;
-    try {
-      script = FaultSchedule.of(line.getOptionValue("script", "calm"));
-    } catch (FaultSchedule.InvalidScriptException e) {
-      throw new ParseException("--script: " + e.getMessage());
-    }
+    FaultSchedule script = script(line.getOptionValue("script", "calm"), plan);
     if (script.ofInstallation()) {
       throw new ParseException(
           "--script: "
@@ -123,6 +123,17 @@
     return Figures.report(line, origin, figures);
   }
 
+  private static FaultSchedule script(String nameOrFile, ClusterPlan plan) throws ParseException {
+    if (nameOrFile.equals(PauseSchedule.NAME)) {
+      return PauseSchedule.draw(plan.seed(), plan.seconds(), plan.zones());
+    }
+    try {
+      return FaultSchedule.of(nameOrFile);
+    } catch (FaultSchedule.InvalidScriptException e) {
+      throw new ParseException("--script: " + e.getMessage());
+    }
+  }
+
   private static Map<String, Object> sockets(
       CommandLine line, ClusterPlan plan, FaultSchedule script) throws Exception {
     boolean kept = line.hasOption("logs");
--- a/lab/src/test/java/reachloom/lab/cluster/HistoryCheckerTest.java
+++ b/lab/src/test/java/reachloom/lab/cluster/HistoryCheckerTest.java
@@ -92,12 +92,47 @@
   }
 
   @Test
-  void excusesUnansweredQueryOfHaltedGateway() {
+  void excusesUnansweredQueryWhileGatewayIsHalted() {
+    accept(LOOKUP, 3);
+    checker.halted(3, true);
+    assertNull(broken());
+  }
+
+  @Test
+  void haltedGatewayHasToAnswerOnceItRuns() {
+    long answered = accept(LOOKUP, 3);
+    long late = accept(LOOKUP, 3);
     accept(LOOKUP, 3);
     checker.halted(3, true);
     advance(5);
     checker.halted(3, false);
-    assertNull(broken());
+    checker.answered(answered, Answer.FAILED, time.now());
+    advance(0.1);
+    checker.answered(late, Answer.FAILED, time.now());
+    assertEquals(Map.of("unanswered", 1, "answered too late", 1), broken());
+  }
+
+  @Test
+  void haltThatEndsBeforeDeadlineExcusesNoLateAnswer() {
+    long late = accept(LOOKUP, 3);
+    checker.halted(3, true);
+    advance(2);
+    checker.halted(3, false);
+    advance(2);
+    checker.answered(late, Answer.FAILED, time.now());
+    assertEquals(Map.of("answered too late", 1), broken());
+  }
+
+  @Test
+  void reportsBudgetsBeyondRemainingTime() {
+    long number = accept(LOOKUP, 0);
+    advance(1);
+    checker.budgetReceived(receiveAttempt(number, 1), 2_000);
+    assertEquals(0, checker.figures(time.now(), 0).get("budgets_too_long"));
+    checker.budgetReceived(receiveAttempt(number, 2), 2_200);
+    Map<String, Object> figures = checker.figures(time.now(), 0);
+    assertEquals(1, figures.get("budgets_too_long"));
+    assertEquals(200L, figures.get("budget_excess_ms_max"));
   }
 
   @Test
