Starting a gateway of the rig no longer blocks the scheduler's thread

Cause: Processes.start holds the lock of the processes while it waits for the scheduler's thread to write the configuration. If that thread asks meanwhile whether a gateway was killed, it waits for the same lock: a deadlock until the 60 s are over.

Change: the configuration is written before the lock is taken.

--- a/lab/src/main/java/reachloom/lab/cluster/Processes.java
+++ b/lab/src/main/java/reachloom/lab/cluster/Processes.java
@@ -1,7 +1,6 @@
 package reachloom.lab.cluster;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -179,12 +178,15 @@
    * Starts a gateway without waiting until it is ready; does nothing if it runs already or after
    * {@link #close}.
    */
-  synchronized void start(int gateway) throws IOException {
+  void start(int gateway) throws IOException {
+    start(gateway, configuration.apply(gateway)); // not locked: it waits for other threads
+  }
+
+  private synchronized void start(int gateway, String configurationText) throws IOException {
     if (closing || running.get(gateway) != null && running.get(gateway).isAlive()) {
       return;
     }
-    Path config =
-        Files.writeString(folder.resolve("g" + gateway + ".json"), configuration.apply(gateway));
+    Path config = Files.writeString(folder.resolve("g" + gateway + ".json"), configurationText);
     List<String> command =
         archive == null
             ? command()
@@ -207,9 +209,8 @@
     }
     Process p = builder.start();
     running.set(gateway, p);
-    OutputStream to = watcher.getOutputStream();
-    to.write((p.pid() + "\n").getBytes(StandardCharsets.US_ASCII));
-    to.flush();
+    watcher.getOutputStream().write((p.pid() + "\n").getBytes(StandardCharsets.US_ASCII));
+    watcher.getOutputStream().flush();
     killed.remove(gateway);
   }
 
