--- a/standin/src/main/java/reachloom/standin/GatewayProcess.java
+++ b/standin/src/main/java/reachloom/standin/GatewayProcess.java
@@ -35,6 +35,8 @@
        "stats":{"names":["util","queue","x0","x1"],"via":"pull"},"tick":5000000,"discovery":"automatic"}
       """;
 
+  private static final int BYTES_PER_KIB = 1024;
+
   public final InetSocketAddress listen;
   public final Path log;
   private final Path config;
@@ -221,6 +223,19 @@
     return process.waitFor(20, TimeUnit.SECONDS) ? process.exitValue() : -1;
   }
 
+  /**
+   * Returns the resident memory of the process in bytes.
+   *
+   * @throws IOException if the process has ended
+   */
+  public long residentBytes() throws IOException {
+    return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+        .filter(line -> line.startsWith("VmRSS:"))
+        .mapToLong(line -> Long.parseLong(line.replaceAll("\\D+", "")) * BYTES_PER_KIB)
+        .findFirst()
+        .orElseThrow(() -> new IOException("process " + process.pid() + " has ended"));
+  }
+
   /** Returns the CPU time that the process has used. */
   public Duration processorTime() {
     return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO);
