A log line tells when the gateway falls behind: tasks, iterations, responses, heap

How much waits for the event loop, how long its iterations take, how many responses are unsent and how full the heap is could not be seen.

--- a/gateway/src/main/java/reachloom/gateway/EventLoop.java
+++ b/gateway/src/main/java/reachloom/gateway/EventLoop.java
@@ -47,6 +47,7 @@
   private final Semaphore freeBytes = new Semaphore(MAX_QUEUED_BYTES);
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
   private Runnable iterationEndAction = () -> {};
+  private long longestIterationNanos;
   private volatile boolean ended;
 
   /**
@@ -117,6 +118,18 @@
     return MAX_QUEUED_BYTES - freeBytes.availablePermits();
   }
 
+  /** Returns the number of actions that wait to be run. */
+  int queuedTasks() {
+    return queue.size();
+  }
+
+  /** Returns how long the longest iteration since the last call took, in nanoseconds. */
+  long takeLongestIteration() {
+    long longest = longestIterationNanos;
+    longestIterationNanos = 0;
+    return longest;
+  }
+
   /** Ends the loop after the current iteration. */
   public void end() {
     ended = true;
@@ -138,8 +151,9 @@
     long wakeUpAt = Math.min(deadlines.next(), now() + MAX_WAIT_NANOS);
     pauses.report(now());
     Task task = queue.poll(Math.max(0, wakeUpAt - now()));
-    pauses.report(now());
-    if (now() - wakeUpAt > STALL_THRESHOLD_NANOS) {
+    long beganAtNanos = now();
+    pauses.report(beganAtNanos);
+    if (beganAtNanos - wakeUpAt > STALL_THRESHOLD_NANOS) {
       runTasksReadAfterStall(task);
       task = null;
     }
@@ -152,6 +166,7 @@
       run(due);
     }
     run(iterationEndAction);
+    longestIterationNanos = Math.max(longestIterationNanos, now() - beganAtNanos);
   }
 
   /**
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -78,6 +78,7 @@
   private final AttemptLifecycle attempts;
   private final EngineClient engines;
   private final ChangeLogClient changeLog;
+  private final OverloadLog overload;
   private EngineOutcomeListener listener = NO_LISTENER;
 
   /**
@@ -99,6 +100,7 @@
     clientTable = new ClientConnectionTable(maxClients + maxTransient);
     requests = new RequestRegistry(loop, clientTable, config.transport().maxOpenRequests());
     ResponseWriter responses = new ResponseWriter(loop, clientTable, requests);
+    overload = new OverloadLog(loop, responses);
     int maxAttempts = config.settings().limits().maxAttempts();
     attempts =
         new AttemptLifecycle(loop, engines, requests, responses, this.scheduler, maxAttempts);
@@ -233,6 +235,7 @@
     clients.sweep();
     engines.closeStalledConnections();
     logWallClockStep();
+    overload.sample();
     loop.deadlines().add(now + SWEEP_INTERVAL_NANOS, this::sweep);
   }
 
--- a/gateway/src/main/java/reachloom/gateway/ResponseWriter.java
+++ b/gateway/src/main/java/reachloom/gateway/ResponseWriter.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import reachloom.gateway.state.ClientConnection;
 import reachloom.gateway.state.ClientConnectionTable;
@@ -14,8 +15,8 @@
  * Writes responses to clients, and limits the bytes that clients have not received yet: when the
  * total exceeds the limit, a client that holds more than its share of it is disconnected.
  *
- * <p>Confined to the event loop's thread; only the count of unsent bytes is shared with the I/O
- * thread, which decreases it as writes complete.
+ * <p>Confined to the event loop's thread; only the counts of what is unsent are shared with the I/O
+ * thread, which decreases them as writes complete.
  */
 final class ResponseWriter {
   private static final Logger LOG = GatewayService.LOG;
@@ -27,6 +28,7 @@
   private final ClientConnectionTable clients;
   private final RequestRegistry requests;
   private final AtomicLong unsentBytes = new AtomicLong();
+  private final AtomicInteger unsentResponses = new AtomicInteger();
 
   ResponseWriter(EventLoop loop, ClientConnectionTable clients, RequestRegistry requests) {
     this.loop = loop;
@@ -55,7 +57,23 @@
       return;
     }
     unsentBytes.addAndGet(bytes);
-    Sockets.write(client.session, frame).addListener(written -> unsentBytes.addAndGet(-bytes));
+    unsentResponses.incrementAndGet();
+    Sockets.write(client.session, frame).addListener(written -> sent(bytes));
+  }
+
+  private void sent(int bytes) {
+    unsentBytes.addAndGet(-bytes);
+    unsentResponses.decrementAndGet();
+  }
+
+  /** Returns the number of responses that are not sent completely. */
+  int unsentResponses() {
+    return unsentResponses.get();
+  }
+
+  /** Returns the bytes of the responses that are not sent completely. */
+  long unsentBytes() {
+    return unsentBytes.get();
   }
 
   private boolean holdsMoreThanItsShare(ClientConnection client) {
