Each connection is charged with its work, and is not read while too much is unfinished

Callers saw: while one client sent checks, unsound requests or unknown methods at full speed, others were answered late or never and the process ended with status 3 (heap); while one sent new ids and took them back, 37 of 41 requests of others were refused; requests of clients that had left began up to 0.5 s later.

Cause, by the line of OverloadLog: what waits for the event loop and for the sockets was bounded by its bytes in all, whoever caused it. 6 MB of responses to checks are 135,000 objects, and fill a heap of 61 MB; 50,000 tasks of one connection delay all others by up to 0.9 s; 256 KiB of one connection were read at once, and the end of a stream lay behind what was not read. The transport also never completes some writes to a connection that closes, so that the count of unsent bytes grew for good.

Change: a FlowWindow for each connection (reachloom.flowcontrol, pure). A message is charged with its bytes and 256 more until it is handled, an answer to a call that is no admitted request with 512 more until it is sent. A connection with a full window is not read; reads are 0.5 to 8 KiB, by the work that the last one caused; while over 1 MiB is unfinished in all, windows and reads shrink. Connections thus take turns. Input that may be unread is known (ConnectionInput): no request of such a connection is submitted and no attempt of it starts, at most a quarter of maxOpen wait so, and its requests count from the first unread byte. A full table evicts a connection whose input could not be read for 0.1 s, its waiting requests answered Busy, before one that has just come. What a closed connection had unsent is no longer counted.

--- a/gateway/src/main/java/reachloom/gateway/AttemptDispatcher.java
+++ b/gateway/src/main/java/reachloom/gateway/AttemptDispatcher.java
@@ -105,7 +105,11 @@
    */
   private boolean dispatch(EngineConnection connection) {
     boolean rejected = false;
+    boolean blocked = false;
     for (EngineAttempt attempt : connection.unsentAttempts()) {
+      if (listener.awaitsClientInput(attempt)) {
+        continue;
+      }
       if (!listener.mayStart(attempt)) {
         connection.removeUnsent(attempt);
         loop.defer(() -> end(attempt, AttemptOutcome.NOT_SENT));
@@ -113,14 +117,23 @@
       } else if (acceptsWrites(connection)) {
         connection.removeUnsent(attempt);
         write(attempt);
+      } else {
+        blocked = true;
       }
     }
-    if (connection.isConnected() && connection.unsentCount() > 0) {
+    if (blocked && connection.isConnected()) {
       connection.lastWrite().addListener(written -> loop.post(0, () -> toDispatch.add(connection)));
     }
     return rejected;
   }
 
+  /** Schedules an attempt that has waited for the input of its client; ignores any other. */
+  void onClientInputRead(EngineAttempt attempt) {
+    if (!attempt.ended && attempt.connection != null && !attempt.isWriteStarted()) {
+      toDispatch.add(attempt.connection);
+    }
+  }
+
   private static boolean acceptsWrites(EngineConnection connection) {
     return connection.isConnected()
         && connection.session().getScheduledWriteBytes() <= MAX_UNWRITTEN_BYTES;
--- a/gateway/src/main/java/reachloom/gateway/AttemptLifecycle.java
+++ b/gateway/src/main/java/reachloom/gateway/AttemptLifecycle.java
@@ -1,6 +1,7 @@
 package reachloom.gateway;
 
 import java.lang.System.Logger;
+import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.state.EngineAttempt;
 import reachloom.gateway.wire.Bytes;
@@ -29,6 +30,7 @@
 
   private final EventLoop loop;
   private final EngineClient engines;
+  private final ClientConnectionTable clients;
   private final RequestRegistry requests;
   private final ResponseWriter responses;
   private final SchedulerEvents scheduler;
@@ -38,12 +40,14 @@
   AttemptLifecycle(
       EventLoop loop,
       EngineClient engines,
+      ClientConnectionTable clients,
       RequestRegistry requests,
       ResponseWriter responses,
       SchedulerEvents scheduler,
       int maxAttempts) {
     this.loop = loop;
     this.engines = engines;
+    this.clients = clients;
     this.requests = requests;
     this.responses = responses;
     this.scheduler = scheduler;
@@ -76,10 +80,22 @@
       RequestLog.retried(request, attempt, now);
     }
     attempt.timeout =
-        loop.deadlines().add(until, () -> finish(attempt, attempt.progress().outcomeIfTimedOut));
+        loop.deadlines().add(until, () -> finish(attempt, outcomeIfTimedOut(attempt)));
     engines.send(attempt);
   }
 
+  private AttemptOutcome outcomeIfTimedOut(EngineAttempt attempt) {
+    return !attempt.isWriteStarted() && awaitsClientInput(attempt)
+        ? AttemptOutcome.NOT_SENT // no evidence against the engine
+        : attempt.progress().outcomeIfTimedOut;
+  }
+
+  /** Returns whether an attempt has to wait until the input of its client is read. */
+  boolean awaitsClientInput(EngineAttempt attempt) {
+    return !attempt.request.closed
+        && clients.find(attempt.request.connection).map(client -> client.inputUnread).orElse(false);
+  }
+
   /**
    * Returns whether an attempt may still start. Called immediately before its first byte is
    * written, since it may have waited for a connection.
--- a/gateway/src/main/java/reachloom/gateway/ChangeLogClient.java
+++ b/gateway/src/main/java/reachloom/gateway/ChangeLogClient.java
@@ -13,8 +13,10 @@
 import reachloom.config.EngineMember;
 import reachloom.config.GatewayConfig;
 import reachloom.discovery.EndpointWatch;
+import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.DeadlineQueue.Deadline;
 import reachloom.gateway.wire.ChangeLogDecoder;
+import reachloom.gateway.wire.ConnectionInput;
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.EndpointListEvent;
 import reachloom.gateway.wire.Listener;
@@ -87,6 +89,7 @@
         sockets.connector(
             new DecodingHandler<>(
                 "change log",
+                FlowController.PEER_WINDOW_BYTES,
                 () -> new ChangeLogDecoder(zoneCount, engineKindCount),
                 new SocketHandler()),
             EndpointWatch.CONNECT_TIMEOUT_NANOS);
@@ -296,6 +299,7 @@
     public void received(IoSession from, EndpointListEvent event, int bytes) {
       long number = connectionNumber(from);
       loop.postFirst(
+          ConnectionInput.of(from),
           bytes,
           () -> {
             if (number == connectionNumber) {
--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -9,11 +9,13 @@
 import java.util.OptionalLong;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
+import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.ClientConnection;
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.wire.ClientCall;
 import reachloom.gateway.wire.ClientCallDecoder;
+import reachloom.gateway.wire.ConnectionInput;
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.Listener;
 import reachloom.gateway.wire.Sockets;
@@ -42,6 +44,12 @@
      * Called when the connection of an open request is gone, so that its response is not needed.
      */
     void onClientGone(ClientRequest request);
+
+    /** Called before a connection is evicted for a new one; no open request was submitted. */
+    void onEviction(ClientConnection client);
+
+    /** Called when all input of a connection has been read, after some was left unread. */
+    void onInputRead(ClientConnection client);
   }
 
   private static final Logger LOG = GatewayService.LOG;
@@ -63,10 +71,17 @@
 
   /**
    * By then, a client's first request has been sent and handled, even if this process is short of
-   * CPU time. Until then a new connection is evicted only if no other one can be.
+   * CPU time. Until then a new connection is evicted only if the table is full of others that can't
+   * be.
    */
   private static final long FIRST_REQUEST_TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
+  /** What a connection is charged with until its end is handled. */
+  private static final int CONNECTION_WORK_BYTES = FlowController.MESSAGE_OVERHEAD_BYTES;
+
+  /** A client whose input could not be read for this time has sent more than its turns allow. */
+  private static final long MAX_UNREAD_NANOS = 100 * NANOS_PER_MILLI;
+
   private final EventLoop loop;
   private final Sockets sockets;
   private final LingeringClose closing;
@@ -109,7 +124,12 @@
    */
   void listen(InetSocketAddress address) throws IOException {
     sockets.listen(
-        address, new DecodingHandler<>("client", ClientCallDecoder::new, new SessionListener()));
+        address,
+        new DecodingHandler<>(
+            "client",
+            FlowController.CLIENT_WINDOW_BYTES,
+            ClientCallDecoder::new,
+            new SessionListener()));
   }
 
   /** Sets how long a connection may stay idle, in nanoseconds; empty for the default. */
@@ -123,6 +143,7 @@
    * next sweep, or are evicted before.
    */
   void sweep() {
+    evictIfAboveLimit();
     long now = loop.now();
     Optional<ClientConnection> client = overdue(now);
     while (client.isPresent() && closing.hasCapacity()) {
@@ -153,23 +174,31 @@
    */
   private boolean admit(ClientConnection client) {
     if (!table.add(client)) {
-      evictOne();
+      evictable().or(table::awaitingLongest).ifPresent(this::evict);
       return table.add(client);
     }
     if (table.size() > maxClients) {
-      loop.post(0, this::evictOne);
+      loop.post(0, this::evictIfAboveLimit);
     }
     return true;
   }
 
-  private void evictOne() {
+  private void evictIfAboveLimit() {
     if (table.size() > maxClients) {
-      table
-          .evictable(loop.now() - FIRST_REQUEST_TIMEOUT_NANOS)
-          .ifPresent(client -> disconnect(client, "evicted for a new connection"));
+      evictable().ifPresent(this::evict);
     }
   }
 
+  private Optional<ClientConnection> evictable() {
+    long now = loop.now();
+    return table.evictable(now - FIRST_REQUEST_TIMEOUT_NANOS, now - MAX_UNREAD_NANOS);
+  }
+
+  private void evict(ClientConnection client) {
+    handler.onEviction(client);
+    disconnect(client, "evicted for a new connection");
+  }
+
   /** Closes a connection gracefully and abandons its open requests. */
   private void disconnect(ClientConnection client, String reason) {
     table.remove(client);
@@ -204,7 +233,9 @@
   private final class SessionListener implements Listener<ClientCall> {
     @Override
     public void opened(IoSession session) {
-      loop.post(0, () -> onOpened(session));
+      // Until its end is handled, so that new connections wait for the event loop.
+      ConnectionInput.of(session).charge(CONNECTION_WORK_BYTES);
+      post(session, 0, () -> onOpened(session));
     }
 
     @Override
@@ -213,27 +244,41 @@
         return; // the client is gone: it needs no response, and no request of it may start
       }
       long receivedAtNanos = Sockets.earliestArrivalNanos(session).orElseGet(loop::now);
-      loop.post(bytes, () -> onReceived(session, call, receivedAtNanos));
+      post(session, bytes, () -> onReceived(session, call, receivedAtNanos));
     }
 
     @Override
     public void messageStarted(IoSession session) {
-      loop.post(0, () -> onMessageBegun(session));
+      post(session, 0, () -> onMessageBegun(session));
     }
 
     @Override
     public void messageContinued(IoSession session, int bytes) {
-      loop.post(bytes, () -> onMessageContinued(session));
+      post(session, bytes, () -> onMessageContinued(session));
+    }
+
+    @Override
+    public void inputUnread(IoSession session) {
+      post(session, 0, () -> onInputUnread(session));
+    }
+
+    @Override
+    public void inputRead(IoSession session) {
+      post(session, 0, () -> onInputRead(session));
     }
 
     @Override
     public void inputMalformed(IoSession session) {
-      loop.post(0, () -> onMalformed(session));
+      post(session, 0, () -> onMalformed(session));
     }
 
     @Override
     public void closed(IoSession session) {
-      loop.post(0, () -> onClosed(session));
+      post(session, 0, () -> onClosed(session));
+    }
+
+    private void post(IoSession session, int bytes, Runnable action) {
+      loop.post(ConnectionInput.of(session), bytes, action);
     }
   }
 
@@ -267,11 +312,25 @@
     client(session).ifPresent(client -> table.messageContinued(client, loop.now()));
   }
 
+  private void onInputUnread(IoSession session) {
+    client(session).ifPresent(client -> table.inputUnread(client, loop.now()));
+  }
+
+  private void onInputRead(IoSession session) {
+    client(session)
+        .ifPresent(
+            client -> {
+              table.inputRead(client);
+              handler.onInputRead(client);
+            });
+  }
+
   private void onMalformed(IoSession session) {
     client(session).ifPresent(client -> disconnect(client, "the client sent undecodable input"));
   }
 
   private void onClosed(IoSession session) {
+    ConnectionInput.of(session).release(CONNECTION_WORK_BYTES);
     client(session)
         .ifPresent(
             client -> {
--- a/gateway/src/main/java/reachloom/gateway/EngineClient.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineClient.java
@@ -61,6 +61,11 @@
     dispatcher.send(attempt);
   }
 
+  /** Sends an attempt that has waited for the input of its client; ignores any other. */
+  void onClientInputRead(EngineAttempt attempt) {
+    dispatcher.onClientInputRead(attempt);
+  }
+
   /**
    * Withdraws an attempt that has not ended; if its request was written, at least in part, sends a
    * cancel command, or a release command while the result is being received.
--- a/gateway/src/main/java/reachloom/gateway/EngineClientListener.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineClientListener.java
@@ -17,6 +17,12 @@
    */
   boolean mayStart(EngineAttempt attempt);
 
+  /**
+   * Returns whether an attempt has to wait until the input of its client is read, since the client
+   * may be gone; {@link EngineClient#onClientInputRead} follows.
+   */
+  boolean awaitsClientInput(EngineAttempt attempt);
+
   /** An attempt has ended. */
   void onAttemptEnded(EngineAttempt attempt, AttemptOutcome outcome);
 
--- a/gateway/src/main/java/reachloom/gateway/EngineConnector.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineConnector.java
@@ -8,8 +8,10 @@
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.EngineConnection;
 import reachloom.gateway.state.GenerationalSlots;
+import reachloom.gateway.wire.ConnectionInput;
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.EngineResponse;
 import reachloom.gateway.wire.EngineResponseDecoder;
@@ -77,7 +79,11 @@
     this.events = events;
     this.connector =
         sockets.connector(
-            new DecodingHandler<>("engine", EngineResponseDecoder::new, new SocketHandler()),
+            new DecodingHandler<>(
+                "engine",
+                FlowController.PEER_WINDOW_BYTES,
+                EngineResponseDecoder::new,
+                new SocketHandler()),
             connectTimeoutNanos);
   }
 
@@ -166,6 +172,7 @@
     private void post(IoSession session, int bytes, Consumer<EngineConnection> action) {
       long handle = handle(session);
       loop.post(
+          ConnectionInput.of(session),
           bytes,
           () -> {
             EngineConnection connection = connections.get(handle);
--- a/gateway/src/main/java/reachloom/gateway/EventLoop.java
+++ b/gateway/src/main/java/reachloom/gateway/EventLoop.java
@@ -4,7 +4,9 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.concurrent.Semaphore;
+import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.DeadlineQueue;
+import reachloom.gateway.wire.ConnectionInput;
 import reachloom.pause.PauseDetector;
 import reachloom.time.MonotonicClock;
 
@@ -38,7 +40,22 @@
   /** Bytes of unhandled messages at which reading from the sockets blocks. */
   private static final int MAX_QUEUED_BYTES = 4 << 20;
 
-  private record Task(Runnable action, int bytes, boolean first) {}
+  /**
+   * An action to be run.
+   *
+   * @param queuedBytes what it counts for while it is queued
+   * @param first whether it runs before others after a stall
+   * @param input the connection that caused it; null if none did
+   * @param workBytes what its connection is charged with until it has run
+   */
+  private record Task(
+      Runnable action, int queuedBytes, boolean first, ConnectionInput input, int workBytes) {
+    void finish() {
+      if (input != null) {
+        input.release(workBytes);
+      }
+    }
+  }
 
   private final MonotonicClock clock = new MonotonicClock();
   private final PauseDetector pauses = new PauseDetector();
@@ -82,21 +99,36 @@
    * @param bytes the memory that the action holds while it is queued
    */
   public void post(int bytes, Runnable action) {
-    post(bytes, action, false);
+    add(new Task(action, Math.min(bytes, MAX_QUEUED_BYTES), false, null, 0));
   }
 
   /**
-   * Runs an action as {@link #post} does, but before all other posted actions after a stall of the
-   * process: for information on which their decisions depend.
+   * Runs an action that a connection has caused, as {@link #post(int, Runnable)} does. The
+   * connection is charged with it until the action has run.
+   *
+   * @param bytes the bytes of the message that caused the action
    */
-  public void postFirst(int bytes, Runnable action) {
-    post(bytes, action, true);
+  public void post(ConnectionInput input, int bytes, Runnable action) {
+    addCharged(input, bytes, action, false);
+  }
+
+  /**
+   * Runs an action as {@link #post(ConnectionInput, int, Runnable)} does, but before all other
+   * posted actions after a stall of the process: for information on which their decisions depend.
+   */
+  public void postFirst(ConnectionInput input, int bytes, Runnable action) {
+    addCharged(input, bytes, action, true);
+  }
+
+  private void addCharged(ConnectionInput input, int bytes, Runnable action, boolean first) {
+    int workBytes = bytes + FlowController.MESSAGE_OVERHEAD_BYTES;
+    input.charge(workBytes);
+    add(new Task(action, Math.min(workBytes, MAX_QUEUED_BYTES), first, input, workBytes));
   }
 
-  private void post(int bytes, Runnable action, boolean first) {
-    int weight = Math.min(bytes, MAX_QUEUED_BYTES);
-    freeBytes.acquireUninterruptibly(weight);
-    queue.add(new Task(action, weight, first));
+  private void add(Task task) {
+    freeBytes.acquireUninterruptibly(task.queuedBytes());
+    queue.add(task);
   }
 
   /** Runs an action once the current one has returned, before the next task. */
@@ -193,8 +225,9 @@
   }
 
   private void run(Task task) {
-    freeBytes.release(task.bytes());
+    freeBytes.release(task.queuedBytes());
     run(task.action());
+    task.finish();
   }
 
   private void run(Runnable action) {
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -103,8 +103,10 @@
     overload = new OverloadLog(loop, responses);
     int maxAttempts = config.settings().limits().maxAttempts();
     attempts =
-        new AttemptLifecycle(loop, engines, requests, responses, this.scheduler, maxAttempts);
-    handler = new RequestHandler(config, loop, requests, responses, attempts, this.scheduler);
+        new AttemptLifecycle(
+            loop, engines, clientTable, requests, responses, this.scheduler, maxAttempts);
+    handler =
+        new RequestHandler(config, loop, requests, responses, attempts, engines, this.scheduler);
     clients = new ClientConnections(loop, sockets, closing, clientTable, maxClients, handler);
     changeLog = new ChangeLogClient(loop, sockets, closing, config, this);
   }
@@ -283,6 +285,11 @@
     return attempts.mayStart(attempt);
   }
 
+  @Override
+  public boolean awaitsClientInput(EngineAttempt attempt) {
+    return attempts.awaitsClientInput(attempt);
+  }
+
   @Override
   public void onAttemptEnded(EngineAttempt attempt, AttemptOutcome outcome) {
     attempts.finish(attempt, outcome);
--- a/gateway/src/main/java/reachloom/gateway/OverloadLog.java
+++ b/gateway/src/main/java/reachloom/gateway/OverloadLog.java
@@ -36,7 +36,7 @@
     boolean behind =
         longestNanos > LONG_ITERATION_NANOS
             || loop.queuedTasks() > MANY_MESSAGES
-            || responses.unsentResponses() > MANY_MESSAGES;
+            || responses.unsent().count() > MANY_MESSAGES;
     if (!behind || loop.now() - loggedAtNanos < INTERVAL_NANOS) {
       return;
     }
@@ -50,8 +50,8 @@
         Integer.toString(loop.queuedTasks()),
         Integer.toString(loop.queuedBytes()),
         Long.toString(longestNanos / NANOS_PER_MILLI),
-        Integer.toString(responses.unsentResponses()),
-        Long.toString(responses.unsentBytes()),
+        Integer.toString(responses.unsent().count()),
+        Long.toString(responses.unsent().bytes()),
         Long.toString((memory.totalMemory() - memory.freeMemory()) / BYTES_PER_MB),
         Long.toString(memory.maxMemory() / BYTES_PER_MB));
   }
--- a/gateway/src/main/java/reachloom/gateway/RequestHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestHandler.java
@@ -9,6 +9,7 @@
 import reachloom.gateway.state.ClientConnection;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.state.EngineAttempt;
+import reachloom.gateway.wire.Bytes;
 import reachloom.gateway.wire.ClientCall;
 import reachloom.gateway.wire.TableGroup;
 import reachloom.gateway.wire.ThriftWriter;
@@ -33,6 +34,7 @@
   private final RequestRegistry requests;
   private final ResponseWriter responses;
   private final AttemptLifecycle attempts;
+  private final EngineClient engines;
   private final SchedulerEvents scheduler;
   private boolean ready;
 
@@ -45,12 +47,14 @@
       RequestRegistry requests,
       ResponseWriter responses,
       AttemptLifecycle attempts,
+      EngineClient engines,
       SchedulerEvents scheduler) {
     this.config = config;
     this.loop = loop;
     this.requests = requests;
     this.responses = responses;
     this.attempts = attempts;
+    this.engines = engines;
     this.scheduler = scheduler;
   }
 
@@ -76,12 +80,12 @@
 
   @Override
   public void check(Arrival arrival, ClientCall.Check call) {
-    responses.write(arrival.client(), ThriftWriter.check(call.seq(), ready));
+    responses.respondDirectly(arrival.client(), ThriftWriter.check(call.seq(), ready));
   }
 
   @Override
   public void unusable(Arrival arrival, ClientCall.Unusable call) {
-    responses.write(arrival.client(), ThriftWriter.exception(call));
+    responses.respondDirectly(arrival.client(), ThriftWriter.exception(call));
   }
 
   @Override
@@ -97,7 +101,7 @@
           "request {0} failed: a field is missing or invalid, or its id or sequence number is in"
               + " use by an open request",
           call.fields().get("txn"));
-      responses.write(client, ThriftWriter.failed(call.seq()));
+      responses.respondDirectly(client, ThriftWriter.failed(call.seq()));
       return;
     }
     ClientRequest request = request(arrival, call, fields.get());
@@ -109,21 +113,58 @@
           requests.size(),
           client.openRequests.size(),
           requests.statementBytes());
-      responses.write(client, ThriftWriter.busy(call.seq())); // it was never forwarded
+      responses.respondDirectly(client, ThriftWriter.busy(call.seq())); // it was never forwarded
       return;
     }
     request.expiryTimer =
         loop.deadlines()
             .add(RequestTiming.expiryAtNanos(request), () -> expire(request, "deadline reached"));
+    submitOnceInputIsRead(client, request);
+  }
+
+  /**
+   * Submits a request to the scheduler, or leaves it until the input of its client is read: the
+   * client may have cancelled the request, or be gone.
+   */
+  private void submitOnceInputIsRead(ClientConnection client, ClientRequest request) {
+    if (client.inputUnread || request.submitted) {
+      return;
+    }
+    if (requests.find(request.id).isPresent()) { // another one was submitted while this one waited
+      respondFailed(request);
+      requests.removeIfDone(request);
+      return;
+    }
+    requests.submit(request);
     long now = loop.now();
-    scheduler.onQuery(now, query(request, fields.get(), call, now));
+    scheduler.onQuery(now, query(request, now));
+  }
+
+  @Override
+  public void onEviction(ClientConnection client) {
+    for (ClientRequest request : List.copyOf(client.openRequests.values())) {
+      respondRejected(request); // it was never forwarded
+      requests.removeIfDone(request);
+    }
+  }
+
+  @Override
+  public void onInputRead(ClientConnection client) {
+    for (ClientRequest request : List.copyOf(client.openRequests.values())) {
+      submitOnceInputIsRead(client, request);
+      request.attempts.forEach(engines::onClientInputRead);
+    }
   }
 
   private ClientRequest request(Arrival arrival, ClientCall.Execute call, RequestFields fields) {
     long deadline = arrival.receivedAtNanos() + fields.limitMs() * NANOS_PER_MILLI;
     return new ClientRequest(
         new ClientRequest.Header(
-            fields.id(), config.names().classes().get(fields.queryClass()), fields.key()),
+            fields.id(),
+            config.names().classes().get(fields.queryClass()),
+            fields.queryClass(),
+            fields.tenant(),
+            fields.key()),
         new ClientRequest.Statement(
             call.statement().array(), call.statement().from(), call.statement().length()),
         new ClientRequest.Origin(arrival.client().handle, call.seq()),
@@ -131,17 +172,17 @@
         Math.min(deadline, latestDeadlineNanos));
   }
 
-  private static Query query(
-      ClientRequest request, RequestFields fields, ClientCall.Execute call, long now) {
+  private static Query query(ClientRequest request, long now) {
+    Bytes statement = new Bytes(request.frame, request.statementOffset, request.statementLength);
     return new Query(
         request.id,
-        fields.queryClass(),
-        fields.tenant(),
+        request.classIndex,
+        request.tenantIndex,
         null,
         Math.max(0, request.deadlineNanos - now),
         0,
         0,
-        TableGroup.of(call.statement()),
+        TableGroup.of(statement),
         false,
         Math.max(0, now - request.receivedAtNanos));
   }
@@ -152,7 +193,9 @@
       return;
     }
     requests.close(request);
-    scheduler.onClientGone(loop.now(), request.id);
+    if (request.submitted) {
+      scheduler.onClientGone(loop.now(), request.id);
+    }
     requests.removeIfDone(request);
   }
 
@@ -215,7 +258,9 @@
     } else {
       respondFailed(request);
     }
-    scheduler.onClientGone(loop.now(), request.id);
+    if (request.submitted) {
+      scheduler.onClientGone(loop.now(), request.id);
+    }
     for (EngineAttempt attempt : List.copyOf(request.attempts)) {
       attempts.finish(attempt, AttemptOutcome.CANCELLED); // if the scheduler left it running
     }
--- a/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
@@ -22,20 +22,34 @@
   /** Bytes of statements in memory beyond which requests are rejected without the scheduler. */
   private static final long MAX_STATEMENT_BYTES = 8L << 20;
 
+  /**
+   * At most 1/n of the requests may wait until the input of their clients is read, so that clients
+   * that send without end leave room for others.
+   */
+  private static final int WAITING_DIVISOR = 4;
+
   private final EventLoop loop;
   private final ClientConnectionTable clients;
   private final GenerationalSlots<ClientRequest> slots;
   private final Map<String, ClientRequest> byId = new HashMap<>();
+  private final int maxWaiting;
   private long statementBytes;
 
+  /** The number of requests that are neither submitted nor closed. */
+  private int waiting;
+
   /** Creates an empty registry for at most {@code maxRequests} requests. */
   RequestRegistry(EventLoop loop, ClientConnectionTable clients, int maxRequests) {
     this.loop = loop;
     this.clients = clients;
     slots = new GenerationalSlots<>(maxRequests);
+    maxWaiting = Math.max(1, maxRequests / WAITING_DIVISOR);
   }
 
-  /** Returns the request of an id, also one that is closed while an attempt of it is in flight. */
+  /**
+   * Returns the submitted request of an id, also one that is closed while an attempt of it is in
+   * flight.
+   */
   Optional<ClientRequest> find(String id) {
     return Optional.ofNullable(byId.get(id));
   }
@@ -43,6 +57,7 @@
   /** Admits a request of a client; returns false, without any change, if a limit is reached. */
   boolean admit(ClientConnection client, ClientRequest request) {
     if (client.openRequests.size() >= MAX_OPEN_PER_CONNECTION
+        || client.inputUnread && waiting >= maxWaiting
         || statementBytes + request.frame.length > MAX_STATEMENT_BYTES) {
       return false;
     }
@@ -51,14 +66,24 @@
       return false;
     }
     statementBytes += request.frame.length;
-    byId.put(request.id, request);
+    waiting++;
     client.openRequests.put(request.sequence, request);
     clients.touch(client, loop.now());
     return true;
   }
 
+  /** Makes an admitted request the one of its id, from when the scheduler knows it. */
+  void submit(ClientRequest request) {
+    request.submitted = true;
+    waiting--;
+    byId.put(request.id, request);
+  }
+
   /** Closes a request: no further response is sent to its client. */
   void close(ClientRequest request) {
+    if (!request.closed && !request.submitted) {
+      waiting--;
+    }
     request.closed = true;
     loop.deadlines().cancel(request.expiryTimer);
     clients
@@ -74,7 +99,7 @@
   void removeIfDone(ClientRequest request) {
     if (request.closed && request.attemptsInFlight == 0 && slots.get(request.handle) == request) {
       slots.remove(request.handle);
-      byId.remove(request.id);
+      byId.remove(request.id, request);
       statementBytes -= request.frame.length;
     }
   }
--- a/gateway/src/main/java/reachloom/gateway/ResponseWriter.java
+++ b/gateway/src/main/java/reachloom/gateway/ResponseWriter.java
@@ -4,8 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
+import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.ClientConnection;
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
@@ -21,14 +20,13 @@
 final class ResponseWriter {
   private static final Logger LOG = GatewayService.LOG;
 
-  /** The most bytes of unsent responses of all connections together. */
+  /** The most bytes of unsent responses of all connections together, with their overhead. */
   private static final long MAX_UNSENT_BYTES = 8L << 20;
 
   private final EventLoop loop;
   private final ClientConnectionTable clients;
   private final RequestRegistry requests;
-  private final AtomicLong unsentBytes = new AtomicLong();
-  private final AtomicInteger unsentResponses = new AtomicInteger();
+  private final UnsentResponses.Totals totals = new UnsentResponses.Totals();
 
   ResponseWriter(EventLoop loop, ClientConnectionTable clients, RequestRegistry requests) {
     this.loop = loop;
@@ -40,43 +38,38 @@
   void respond(ClientRequest request, ByteBuffer frame) {
     Optional<ClientConnection> client = clients.find(request.connection);
     requests.close(request);
-    client.ifPresent(open -> write(open, frame));
+    client.ifPresent(open -> write(open, frame, false));
   }
 
-  /** Writes a complete frame to a client. */
-  void write(ClientConnection client, ByteBuffer frame) {
+  /**
+   * Writes a complete frame to a client, in response to a call that is no admitted request. The
+   * client's connection is charged with it until it is sent: clients may send such calls without
+   * end.
+   */
+  void respondDirectly(ClientConnection client, ByteBuffer frame) {
+    write(client, frame, true);
+  }
+
+  private void write(ClientConnection client, ByteBuffer frame, boolean isWork) {
     clients.touch(client, loop.now());
-    int bytes = frame.remaining();
-    if (unsentBytes.get() + bytes > MAX_UNSENT_BYTES && holdsMoreThanItsShare(client)) {
+    int bytes = frame.remaining() + FlowController.RESPONSE_OVERHEAD_BYTES;
+    UnsentResponses unsent = UnsentResponses.of(client.session, totals);
+    if (totals.bytes() + bytes > MAX_UNSENT_BYTES
+        && unsent.bytes() > MAX_UNSENT_BYTES / clients.size()) {
       LOG.log(
           Level.WARNING,
           "client {0} does not read its responses: {1} bytes are unsent; its connection is closed",
           client.session.getRemoteAddress(),
-          Long.toString(client.session.getScheduledWriteBytes()));
+          Long.toString(unsent.bytes()));
       client.session.closeNow();
       return;
     }
-    unsentBytes.addAndGet(bytes);
-    unsentResponses.incrementAndGet();
-    Sockets.write(client.session, frame).addListener(written -> sent(bytes));
-  }
-
-  private void sent(int bytes) {
-    unsentBytes.addAndGet(-bytes);
-    unsentResponses.decrementAndGet();
-  }
-
-  /** Returns the number of responses that are not sent completely. */
-  int unsentResponses() {
-    return unsentResponses.get();
-  }
-
-  /** Returns the bytes of the responses that are not sent completely. */
-  long unsentBytes() {
-    return unsentBytes.get();
+    unsent.add(bytes, isWork);
+    Sockets.write(client.session, frame).addListener(written -> unsent.remove(bytes, isWork));
   }
 
-  private boolean holdsMoreThanItsShare(ClientConnection client) {
-    return client.session.getScheduledWriteBytes() > MAX_UNSENT_BYTES / clients.size();
+  /** Returns the responses of all clients that are not sent completely. */
+  UnsentResponses.Totals unsent() {
+    return totals;
   }
 }
--- a/gateway/src/main/java/reachloom/gateway/state/ClientConnection.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientConnection.java
@@ -1,6 +1,6 @@
 package reachloom.gateway.state;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.apache.mina.core.session.IoSession;
 
@@ -23,8 +23,17 @@
   /** When the first part of the latest incomplete message was received. */
   public long messageBegunAtNanos;
 
-  /** The open requests by their sequence numbers. */
-  public final Map<Integer, ClientRequest> openRequests = new HashMap<>();
+  /**
+   * Whether input of the client may have arrived that was not read yet: it may have cancelled its
+   * requests, or be gone.
+   */
+  public boolean inputUnread;
+
+  /** Since when {@link #inputUnread} is set, on the event loop's clock. */
+  public long unreadSinceNanos;
+
+  /** The open requests by their sequence numbers, oldest first. */
+  public final Map<Integer, ClientRequest> openRequests = new LinkedHashMap<>();
 
   /** Creates a connection that was just accepted. */
   public ClientConnection(IoSession session, long nowNanos) {
--- a/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
@@ -33,6 +33,9 @@
   /** Other connections without open requests, in the order in which they were last active. */
   private final Set<ClientConnection> idle = new LinkedHashSet<>();
 
+  /** Connections with unread input, in the order in which it was first left unread. */
+  private final Set<ClientConnection> unread = new LinkedHashSet<>();
+
   /** Creates an empty table of at most {@code maxConnections} connections. */
   public ClientConnectionTable(int maxConnections) {
     slots = new GenerationalSlots<>(maxConnections);
@@ -54,6 +57,22 @@
     slots.remove(client.handle);
     awaiting.remove(client);
     idle.remove(client);
+    unread.remove(client);
+  }
+
+  /** Records that input of a connection was left unread. */
+  public void inputUnread(ClientConnection client, long nowNanos) {
+    if (!client.inputUnread) {
+      client.inputUnread = true;
+      client.unreadSinceNanos = nowNanos;
+      unread.add(client);
+    }
+  }
+
+  /** Records that all input of a connection was read. */
+  public void inputRead(ClientConnection client) {
+    client.inputUnread = false;
+    unread.remove(client);
   }
 
   /** Records that the first part of an incomplete message was received on a connection. */
@@ -90,14 +109,24 @@
 
   /**
    * Returns the connection to evict for a new one, if any may be: one that has been inactive while
-   * a message is awaited since before the given time, else the one that is idle for longest, else
-   * the one that awaits a message for longest. The last kind comes last, since its message may be
-   * in transit: a request that arrives at a closed connection is lost to its client.
+   * a message is awaited since before a time, else the one that is idle for longest, else one that
+   * has sent more than could be read since before a time, and no request of which was submitted. A
+   * connection that has awaited a message for a shorter time is none of them: the message may be in
+   * transit, and a request that arrives at a closed connection is lost to its client.
+   *
+   * @param inactiveBeforeNanos the time of the first kind
+   * @param unreadBeforeNanos the time of the third kind
    */
-  public Optional<ClientConnection> evictable(long inactiveBeforeNanos) {
-    Optional<ClientConnection> first = first(awaiting);
-    boolean expired = first.isPresent() && first.get().lastActiveAtNanos < inactiveBeforeNanos;
-    return expired || idle.isEmpty() ? first : first(idle);
+  public Optional<ClientConnection> evictable(long inactiveBeforeNanos, long unreadBeforeNanos) {
+    return first(awaiting)
+        .filter(client -> client.lastActiveAtNanos < inactiveBeforeNanos)
+        .or(() -> first(idle))
+        .or(() -> firstUnread(unreadBeforeNanos));
+  }
+
+  /** Returns the connection to evict if none is {@link #evictable} and the table is full. */
+  public Optional<ClientConnection> awaitingLongest() {
+    return first(awaiting);
   }
 
   /**
@@ -110,6 +139,13 @@
         .or(() -> first(idle).filter(client -> client.lastActiveAtNanos < idleBeforeNanos));
   }
 
+  private Optional<ClientConnection> firstUnread(long beforeNanos) {
+    return unread.stream()
+        .takeWhile(client -> client.unreadSinceNanos < beforeNanos)
+        .filter(client -> client.openRequests.values().stream().noneMatch(open -> open.submitted))
+        .findFirst();
+  }
+
   private static Optional<ClientConnection> first(Set<ClientConnection> clients) {
     Iterator<ClientConnection> iterator = clients.iterator();
     return iterator.hasNext() ? Optional.of(iterator.next()) : Optional.empty();
--- a/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
@@ -14,9 +14,11 @@
    *
    * @param id the request's id, 16 hexadecimal digits
    * @param queryClass the name of the request's class
+   * @param classIndex the index of the class in the settings
+   * @param tenantIndex the index of the tenant in the settings
    * @param key the client's idempotency key, or null
    */
-  public record Header(String id, String queryClass, String key) {}
+  public record Header(String id, String queryClass, int classIndex, int tenantIndex, String key) {}
 
   /**
    * The bytes of a statement.
@@ -37,6 +39,8 @@
 
   public final String id;
   public final String queryClass;
+  public final int classIndex;
+  public final int tenantIndex;
   public final String key;
 
   /** The frame that holds the statement at {@link #statementOffset}. */
@@ -67,6 +71,9 @@
 
   public int priority = 1;
 
+  /** Whether the scheduler was told of the request. */
+  public boolean submitted;
+
   /** Whether the client needs no response any more: it was sent, or the client is gone. */
   public boolean closed;
 
@@ -78,6 +85,8 @@
       Header header, Statement statement, Origin origin, long receivedAtNanos, long deadlineNanos) {
     id = header.id();
     queryClass = header.queryClass();
+    classIndex = header.classIndex();
+    tenantIndex = header.tenantIndex();
     key = header.key();
     frame = statement.frame();
     statementOffset = statement.offset();
--- a/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/DecodingHandler.java
@@ -23,21 +23,39 @@
       new AttributeKey(DecodingHandler.class, "writtenAction");
 
   private final String peer;
+  private final long windowBytes;
   private final Supplier<Decoder<M>> decoderFactory;
   private final Listener<M> listener;
 
   /**
-   * Creates a handler.
+   * Creates a handler whose connections are read without a limit.
    *
    * @param peer the role of the remote side in log lines
    * @param decoderFactory creates the decoder of each connection
    */
   public DecodingHandler(String peer, Supplier<Decoder<M>> decoderFactory, Listener<M> listener) {
+    this(peer, Long.MAX_VALUE, decoderFactory, listener);
+  }
+
+  /**
+   * Creates a handler.
+   *
+   * @param peer the role of the remote side in log lines
+   * @param windowBytes the unfinished work at which a connection is not read, in bytes of memory
+   * @param decoderFactory creates the decoder of each connection
+   */
+  public DecodingHandler(
+      String peer, long windowBytes, Supplier<Decoder<M>> decoderFactory, Listener<M> listener) {
     this.peer = peer;
+    this.windowBytes = windowBytes;
     this.decoderFactory = decoderFactory;
     this.listener = listener;
   }
 
+  long windowBytes() {
+    return windowBytes;
+  }
+
   /** Discards all further input of a connection. May be called from any thread. */
   public static void discardInput(IoSession session) {
     session.removeAttribute(DECODER);
@@ -80,9 +98,25 @@
     IoBuffer buffer = (IoBuffer) message;
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
+    ConnectionInput input = ConnectionInput.of(session);
+    if (input.isUnread()) {
+      reportUnread(input);
+    }
+    int messages = decode(session, decoder, bytes);
+    input.recordRead(bytes.length, messages);
+    if (input.pauseIfFull()) {
+      reportUnread(input);
+    } else if (!input.isUnread()) {
+      readCompletely(input);
+    }
+  }
+
+  /** Decodes bytes and passes the messages on; returns the number of messages. */
+  private int decode(IoSession session, Decoder<M> decoder, byte[] bytes) {
     boolean wasPartial = decoder.partial();
     // The first message is charged with the memory of all received bytes, the others with none.
     int[] uncharged = {bytes.length};
+    int[] messages = {0};
     String fault =
         decoder.feed(
             bytes,
@@ -91,6 +125,7 @@
             m -> {
               listener.received(session, m, uncharged[0]);
               uncharged[0] = 0;
+              messages[0]++;
             });
     if (fault != null) {
       LOG.log(
@@ -101,11 +136,25 @@
           fault);
       discardInput(session);
       listener.inputMalformed(session);
-    } else if (decoder.partial() && (!wasPartial || uncharged[0] == 0)) {
+    } else if (decoder.partial() && (!wasPartial || messages[0] > 0)) {
       listener.messageStarted(session);
     } else if (decoder.partial()) {
       listener.messageContinued(session, bytes.length);
     }
+    return messages[0];
+  }
+
+  private void reportUnread(ConnectionInput input) {
+    if (input.report(true)) {
+      listener.inputUnread(input.session());
+    }
+  }
+
+  /** Reports that all input of a connection was read, unless the listener knows. */
+  void readCompletely(ConnectionInput input) {
+    if (input.report(false)) {
+      listener.inputRead(input.session());
+    }
   }
 
   @Override
--- a/gateway/src/main/java/reachloom/gateway/wire/Listener.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Listener.java
@@ -30,6 +30,15 @@
    */
   default void messageContinued(IoSession session, int bytes) {}
 
+  /**
+   * More input may have arrived than was read so far. Reported before the messages of a read that
+   * left input, and when reading is paused. The end of the stream may be among what is unread.
+   */
+  default void inputUnread(IoSession session) {}
+
+  /** All input was read that had arrived, after {@link #inputUnread}. */
+  default void inputRead(IoSession session) {}
+
   /** Malformed input was received; no more input is decoded, and the connection must be closed. */
   default void inputMalformed(IoSession session) {
     session.closeNow();
--- a/gateway/src/test/java/reachloom/gateway/ConnectionCloseTest.java
+++ b/gateway/src/test/java/reachloom/gateway/ConnectionCloseTest.java
@@ -262,6 +262,7 @@
       Connection connection = engine.accept();
       assertTrue(connection.readRequest().startsWith("ASK"));
       CountDownLatch resume = pauseLoop();
+      runOnLoop(() -> actions.cancelAttempt(query.id(), 0));
       FakeEngine.daemon(
           () -> {
             try {
@@ -270,7 +271,6 @@
               // the gateway closes the connection before all is read
             }
           });
-      runOnLoop(() -> actions.cancelAttempt(query.id(), 0));
       resume.countDown();
       assertEquals("QUIT " + query.id(), connection.readLine());
       assertNull(connection.readLine(), "then closed without a reset");
--- a/lab/src/test/java/reachloom/gateway/EngineList.java
+++ b/lab/src/test/java/reachloom/gateway/EngineList.java
@@ -27,6 +27,11 @@
             sockets,
             new LingeringClose(loop, sockets, 1, 1),
             new EngineClientListener() {
+              @Override
+              public boolean awaitsClientInput(EngineAttempt attempt) {
+                return false;
+              }
+
               @Override
               public boolean mayStart(EngineAttempt attempt) {
                 return false;
