An id that comes again is forwarded only after its first attempt has been cancelled

Callers saw: a client left, its request came again under the same id on another connection, and 1 to 7 of 60 reached the next engine before the first had its QUIT: the query ran twice at once. In other orders of the two events the second request was answered Failed.

Cause: the end of an attempt whose client has left is reported at once, since nothing is forwarded in its place; the id was free from then on, while the QUIT was still on its way on another connection.

Change: CancelledIds knows the ids whose QUIT was written less than 50 ms ago (4,096 at most). SubmissionGate, which also holds requests back while input of their client is unread, holds one with such an id until then, and one whose earlier request is open on another connection for 100 ms: the end of that client may be known only now. After that it is answered Failed as before.

Class of the bug: two messages that must be seen in order take different connections. Related path: retries of open requests, which have waited 5 ms for their QUIT already.

--- a/gateway/src/main/java/reachloom/gateway/AttemptLifecycle.java
+++ b/gateway/src/main/java/reachloom/gateway/AttemptLifecycle.java
@@ -34,6 +34,7 @@
   private final RequestRegistry requests;
   private final ResponseWriter responses;
   private final SchedulerEvents scheduler;
+  private final CancelledIds cancelledIds;
   private final int maxAttempts;
   private EngineOutcomeListener outcomeListener = GatewayService.NO_LISTENER;
 
@@ -44,6 +45,7 @@
       RequestRegistry requests,
       ResponseWriter responses,
       SchedulerEvents scheduler,
+      CancelledIds cancelledIds,
       int maxAttempts) {
     this.loop = loop;
     this.engines = engines;
@@ -51,6 +53,7 @@
     this.requests = requests;
     this.responses = responses;
     this.scheduler = scheduler;
+    this.cancelledIds = cancelledIds;
     this.maxAttempts = maxAttempts;
   }
 
@@ -140,6 +143,9 @@
     loop.deadlines().cancel(attempt.timeout);
     boolean engineMayRunOn = outcome.mayStillRun && attempt.isWriteStarted();
     engines.withdraw(attempt);
+    if (engineMayRunOn) {
+      cancelledIds.add(attempt.request.id, attempt.connection);
+    }
     if (outcome == AttemptOutcome.SERVED && !attempt.request.closed) {
       responses.respond(
           attempt.request,
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -101,12 +101,22 @@
     requests = new RequestRegistry(loop, clientTable, config.transport().maxOpenRequests());
     ResponseWriter responses = new ResponseWriter(loop, clientTable, requests);
     overload = new OverloadLog(loop, responses);
+    CancelledIds cancelledIds = new CancelledIds(loop);
     int maxAttempts = config.settings().limits().maxAttempts();
     attempts =
         new AttemptLifecycle(
-            loop, engines, clientTable, requests, responses, this.scheduler, maxAttempts);
+            loop,
+            engines,
+            clientTable,
+            requests,
+            responses,
+            this.scheduler,
+            cancelledIds,
+            maxAttempts);
+    SubmissionGate gate = new SubmissionGate(loop, clientTable, requests, cancelledIds);
     handler =
-        new RequestHandler(config, loop, requests, responses, attempts, engines, this.scheduler);
+        new RequestHandler(
+            config, loop, requests, responses, attempts, engines, gate, this.scheduler);
     clients = new ClientConnections(loop, sockets, closing, clientTable, maxClients, handler);
     changeLog = new ChangeLogClient(loop, sockets, closing, config, this);
   }
--- a/gateway/src/main/java/reachloom/gateway/RequestHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestHandler.java
@@ -35,6 +35,7 @@
   private final ResponseWriter responses;
   private final AttemptLifecycle attempts;
   private final EngineClient engines;
+  private final SubmissionGate gate;
   private final SchedulerEvents scheduler;
   private boolean ready;
 
@@ -48,6 +49,7 @@
       ResponseWriter responses,
       AttemptLifecycle attempts,
       EngineClient engines,
+      SubmissionGate gate,
       SchedulerEvents scheduler) {
     this.config = config;
     this.loop = loop;
@@ -55,6 +57,7 @@
     this.responses = responses;
     this.attempts = attempts;
     this.engines = engines;
+    this.gate = gate;
     this.scheduler = scheduler;
   }
 
@@ -93,13 +96,12 @@
     ClientConnection client = arrival.client();
     Optional<RequestFields> fields =
         RequestFields.read(call.fields(), config)
-            .filter(read -> requests.find(read.id()).isEmpty())
             .filter(read -> !client.openRequests.containsKey(call.seq()));
     if (fields.isEmpty()) {
       LOG.log(
           Level.WARNING,
-          "request {0} failed: a field is missing or invalid, or its id or sequence number is in"
-              + " use by an open request",
+          "request {0} failed: a field is missing or invalid, or its sequence number is in use by"
+              + " an open request",
           call.fields().get("txn"));
       responses.respondDirectly(client, ThriftWriter.failed(call.seq()));
       return;
@@ -119,25 +121,27 @@
     request.expiryTimer =
         loop.deadlines()
             .add(RequestTiming.expiryAtNanos(request), () -> expire(request, "deadline reached"));
-    submitOnceInputIsRead(client, request);
+    submitWhenPossible(request);
   }
 
-  /**
-   * Submits a request to the scheduler, or leaves it until the input of its client is read: the
-   * client may have cancelled the request, or be gone.
-   */
-  private void submitOnceInputIsRead(ClientConnection client, ClientRequest request) {
-    if (client.inputUnread || request.submitted) {
+  private void submitWhenPossible(ClientRequest request) {
+    if (request.submitted || request.closed) {
       return;
     }
-    if (requests.find(request.id).isPresent()) { // another one was submitted while this one waited
-      respondFailed(request);
-      requests.removeIfDone(request);
-      return;
+    switch (gate.check(request, () -> submitWhenPossible(request))) {
+      case SUBMIT -> {
+        requests.submit(request);
+        long now = loop.now();
+        scheduler.onQuery(now, query(request, now));
+      }
+      case DUPLICATE -> {
+        respondFailed(request);
+        requests.removeIfDone(request);
+      }
+      case WAIT -> {
+        // checked again by the gate, or once the input of the client is read
+      }
     }
-    requests.submit(request);
-    long now = loop.now();
-    scheduler.onQuery(now, query(request, now));
   }
 
   @Override
@@ -151,7 +155,7 @@
   @Override
   public void onInputRead(ClientConnection client) {
     for (ClientRequest request : List.copyOf(client.openRequests.values())) {
-      submitOnceInputIsRead(client, request);
+      submitWhenPossible(request);
       request.attempts.forEach(engines::onClientInputRead);
     }
   }
--- a/gateway/src/test/java/reachloom/gateway/DepartedClientTest.java
+++ b/gateway/src/test/java/reachloom/gateway/DepartedClientTest.java
@@ -13,12 +13,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import reachloom.gateway.RecordingEngine.Line;
+import reachloom.scheduler.api.Query;
 import reachloom.standin.FakeChangeLog;
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.ThriftClient;
@@ -29,6 +31,7 @@
 class DepartedClientTest {
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final String HELD_CLASS = "once";
+  private static final String OTHER_ENGINE = "s-00000002";
 
   /** An attempt may begin 100 ms after its client has left, and 50 ms more on sockets. */
   private static final long MAX_START_DELAY_NANOS = 150 * NANOS_PER_MILLI;
@@ -36,6 +39,7 @@
   private static final int FLOODS = 60;
   private static final int FLOOD_REQUESTS = 900;
   private static final String FLOOD_STATEMENT = "select '" + "x".repeat(2_000) + "'";
+  private static final int ROUNDS = 40;
 
   @TempDir Path folder;
 
@@ -63,6 +67,8 @@
         GatewayProcess.freeAddress(), changeLog.address(), engine.address(), other.address());
   }
 
+  // ---- A client that leaves with much unread ----
+
   /** Sends many requests in one write and leaves; returns when it had left. */
   private long flood(GatewayProcess gateway, int number, CountDownLatch start) {
     try (ThriftClient client = new ThriftClient(gateway.listen)) {
@@ -119,4 +125,46 @@
     all.addAll(other.lines);
     return all.stream().filter(line -> line.text().startsWith(prefix)).toList();
   }
+
+  // ---- An id that comes again ----
+
+  private long atNanos(RecordingEngine at, String prefix) throws InterruptedException {
+    AtomicReference<Line> found = new AtomicReference<>();
+    GatewayHarness.await(
+        () -> {
+          at.lines.stream()
+              .filter(line -> line.text().startsWith(prefix))
+              .findFirst()
+              .ifPresent(found::set);
+          return found.get() != null;
+        });
+    return found.get().at();
+  }
+
+  /** The next engine received 1 to 7 of 60 such requests before the first one had its QUIT. */
+  @Test
+  void repeatedIdStartsOnlyAfterFirstAttemptIsCancelled() throws Exception {
+    try (OrderingHarness gateway = new OrderingHarness(folder, config())) {
+      int early = 0;
+      for (int round = 0; round < ROUNDS; round++) {
+        String id = String.format("%016x", round + 1);
+        gateway.forwardTo = query -> OrderingHarness.ENGINE;
+        ThriftClient leaving = new ThriftClient(gateway.config.listen());
+        leaving.execute("select 1", "verb", HELD_CLASS, "txn", id, "limit", "20000");
+        gateway.nextEvent(Query.class);
+        atNanos(engine, "ASK " + id);
+        gateway.forwardTo = query -> OTHER_ENGINE;
+        try (ThriftClient next = new ThriftClient(gateway.config.listen())) {
+          next.check();
+          leaving.close();
+          next.execute("select 1", "verb", "quick", "txn", id, "limit", "20000");
+          assertEquals("ANSWER", next.reply().kind(), "round " + round);
+        }
+        long cancelledAtNanos = atNanos(engine, "QUIT " + id);
+        early += atNanos(other, "ASK " + id) < cancelledAtNanos ? 1 : 0;
+        gateway.events.clear();
+      }
+      assertEquals(0, early, "attempts of " + ROUNDS + " that started before the cancel arrived");
+    }
+  }
 }
