An engine whose address another has taken gets no more attempts

Callers saw: nothing yet here; operators of other deployments report that a new process at the address of one that had gone was taken for the old one. For engines it was shown by a test: the list names a second engine at an address before it removes the first, and work for the first went to the process of the second.

Cause: connections are kept by the engine's name and start; the address was not compared.

Change: the engine that was listed last at an address is the one there. The other is not used until the list names it anew; its connections end, and what had been sent on them counts as reset: it may have run.

Measured: engineWhoseAddressAnotherHasTakenGetsNoAttempts failed before (TIMEOUT instead of RESET, the attempt stayed with the old name), passes after.

--- a/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
@@ -2,8 +2,10 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,12 +55,19 @@
     /** Null once the endpoint list has removed the engine. */
     private EngineMember member;
 
+    /** Whether an engine that was listed later has its address: its process has gone. */
+    private boolean superseded;
+
     boolean isListed() {
       return member != null;
     }
 
+    boolean isAt(InetSocketAddress address) {
+      return isListed() && member.address().equals(address);
+    }
+
     boolean acceptsAttempts() {
-      return isListed() && member.endpoint().state() == EngineState.UP;
+      return isListed() && !superseded && member.endpoint().state() == EngineState.UP;
     }
   }
 
@@ -70,6 +79,9 @@
   private final EngineConnector connector;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
 
+  /** The engine that was listed last at each address. */
+  private final Map<InetSocketAddress, Engine> byAddress = new HashMap<>();
+
   /** Creates a pool without engines; the options limit its connections. */
   EngineConnectionPool(
       EventLoop loop,
@@ -101,6 +113,9 @@
       Engine engine = engines.computeIfAbsent(member.endpoint().name(), name -> new Engine());
       engine.member = member.endpoint().state() == EngineState.REMOVED ? null : member;
       closeConnectionsBefore(engine, member.endpoint().incarnation());
+      if (engine.isListed()) {
+        supersedeOther(engine);
+      }
     }
     // Only the engines of the change, not all of thousands, have to be visited.
     List<String> changed =
@@ -121,6 +136,20 @@
         });
   }
 
+  /**
+   * Stops the use of another engine at an engine's address: whoever connects there reaches this
+   * one, though the list has not removed the other yet.
+   */
+  private void supersedeOther(Engine newest) {
+    newest.superseded = false;
+    Engine other = byAddress.put(newest.member.address(), newest);
+    if (other != null && other != newest && other.isAt(newest.member.address())) {
+      other.superseded = true;
+      List.copyOf(other.connections)
+          .forEach(connection -> close(connection, false, "another engine has its address"));
+    }
+  }
+
   private void closeConnectionsBefore(Engine engine, long incarnation) {
     for (EngineConnection connection : List.copyOf(engine.connections)) {
       if (connection.incarnation() < incarnation) {
@@ -148,6 +177,7 @@
   private void removeIfUnused(String name, Engine engine) {
     if (!engine.isListed() && engine.connections.isEmpty()) {
       engines.remove(name);
+      byAddress.values().remove(engine);
     }
   }
 
@@ -178,7 +208,7 @@
    */
   Optional<EngineConnection> acquire(String name, List<EngineAttempt> previousAttempts) {
     Engine engine = engines.get(name);
-    if (engine == null || !engine.isListed()) {
+    if (engine == null || !engine.isListed() || engine.superseded) {
       return Optional.empty();
     }
     Optional<EngineConnection> best = bestAvailable(engine, previousAttempts);
--- a/gateway/src/test/java/reachloom/gateway/EngineConnectionOrderingTest.java
+++ b/gateway/src/test/java/reachloom/gateway/EngineConnectionOrderingTest.java
@@ -43,6 +43,7 @@
 @Timeout(60)
 class EngineConnectionOrderingTest {
   private static final int CHANGES_EVENT = 2;
+  private static final String NEW_ENGINE = "s-00000003";
 
   @TempDir Path folder;
 
@@ -344,4 +345,31 @@
       gateway.assertNoFurther(AttemptResult.class);
     }
   }
+
+  // ---- Another process at the address ----
+
+  /** Work for an engine that had gone went to the one that came up at its address. */
+  @Test
+  void engineWhoseAddressAnotherHasTakenGetsNoAttempts() throws Exception {
+    Connection log = startGatewayAndLog();
+    try (ThriftClient client = new ThriftClient(gateway.config.listen())) {
+      Query first = submitQuery(client, "select 1", "verb", "once");
+      gateway.runOnLoop(() -> gateway.actions.forward(first.id(), ENGINE, 0));
+      Connection old = engine.accept();
+      assertTrue(old.readRequest().startsWith("ASK " + first.id()));
+      log.write(up(3, engine.address(), System.currentTimeMillis()));
+      assertEquals(EngineEndpoint.class, gateway.nextEvent(List.class).get(0).getClass());
+      assertEquals(AttemptOutcome.RESET, nextEnd().outcome(), "of the process that has gone");
+      gateway.runOnLoop(() -> gateway.actions.forward(first.id(), ENGINE, 0));
+      assertEquals(AttemptOutcome.UNREACHED, nextEnd().outcome());
+      gateway.runOnLoop(() -> gateway.actions.forward(first.id(), NEW_ENGINE, 0));
+      Connection taken = engine.accept();
+      assertTrue(taken.readRequest().startsWith("ASK " + first.id()));
+      taken.write(answer(first.id(), "x\ty\tz\n"));
+      AttemptResult end = nextEnd();
+      assertEquals(AttemptOutcome.SERVED, end.outcome());
+      assertEquals(NEW_ENGINE, end.engine());
+      assertEquals("x\ty\tz\n", client.reply().body());
+    }
+  }
 }
