Only an engine that is up takes over an address

Cause: let any listed engine take the address of another.

Change: a new process is listed as up first, and only such an entry counts.

--- a/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
@@ -113,7 +113,7 @@
       Engine engine = engines.computeIfAbsent(member.endpoint().name(), name -> new Engine());
       engine.member = member.endpoint().state() == EngineState.REMOVED ? null : member;
       closeConnectionsBefore(engine, member.endpoint().incarnation());
-      if (engine.isListed()) {
+      if (engine.isListed() && member.endpoint().state() == EngineState.UP) {
         supersedeOther(engine);
       }
     }
@@ -137,8 +137,8 @@
   }
 
   /**
-   * Stops the use of another engine at an engine's address: whoever connects there reaches this
-   * one, though the list has not removed the other yet.
+   * Stops the use of another engine at the address of an engine that is up: whoever connects there
+   * reaches this one, though the list has not removed the other yet.
    */
   private void supersedeOther(Engine newest) {
     newest.superseded = false;
