A full table evicts clients that send without end before ones idle for a moment

Cause: with the table full an idle connection gave way first, whoever had filled it. A request crosses such a close within 50 ms by the protocol; while the I/O thread has hundreds of floods to read, it may lie unread for longer.

Change: a connection whose input could not be read completely for 0.1 s, and no request of which was submitted, gives way before an idle one; and an idle one only after 0.1 s without activity. TablesTest has the order.

--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -174,7 +174,7 @@
    */
   private boolean admit(ClientConnection client) {
     if (!table.add(client)) {
-      evictable().or(table::awaitingLongest).ifPresent(this::evict);
+      evictable().or(table::leastRecentlyActive).ifPresent(this::evict);
       return table.add(client);
     }
     if (table.size() > maxClients) {
--- a/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientConnectionTable.java
@@ -109,24 +109,26 @@
 
   /**
    * Returns the connection to evict for a new one, if any may be: one that has been inactive while
-   * a message is awaited since before a time, else the one that is idle for longest, else one that
-   * has sent more than could be read since before a time, and no request of which was submitted. A
-   * connection that has awaited a message for a shorter time is none of them: the message may be in
-   * transit, and a request that arrives at a closed connection is lost to its client.
+   * a message is awaited since before a time, else one that has sent more than could be read since
+   * before a time, and no request of which was submitted, else the one that is idle for longest, if
+   * it is since before that time. The message of a connection that was active a short time ago may
+   * be in transit, and a request that arrives at a closed connection is lost to its client.
    *
    * @param inactiveBeforeNanos the time of the first kind
-   * @param unreadBeforeNanos the time of the third kind
+   * @param unreadBeforeNanos the time of the other kinds
    */
   public Optional<ClientConnection> evictable(long inactiveBeforeNanos, long unreadBeforeNanos) {
-    return first(awaiting)
-        .filter(client -> client.lastActiveAtNanos < inactiveBeforeNanos)
-        .or(() -> first(idle))
-        .or(() -> firstUnread(unreadBeforeNanos));
+    return inactiveBefore(awaiting, inactiveBeforeNanos)
+        .or(() -> firstUnread(unreadBeforeNanos))
+        .or(() -> inactiveBefore(idle, unreadBeforeNanos));
   }
 
-  /** Returns the connection to evict if none is {@link #evictable} and the table is full. */
-  public Optional<ClientConnection> awaitingLongest() {
-    return first(awaiting);
+  /**
+   * Returns the connection to evict if none is {@link #evictable} and the table is full: the one
+   * that is idle for longest, else the one that awaits a message for longest.
+   */
+  public Optional<ClientConnection> leastRecentlyActive() {
+    return first(idle).or(() -> first(awaiting));
   }
 
   /**
@@ -134,9 +136,13 @@
    * since before the first time, or idle since before the second.
    */
   public Optional<ClientConnection> overdue(long inactiveBeforeNanos, long idleBeforeNanos) {
-    return first(awaiting)
-        .filter(client -> client.lastActiveAtNanos < inactiveBeforeNanos)
-        .or(() -> first(idle).filter(client -> client.lastActiveAtNanos < idleBeforeNanos));
+    return inactiveBefore(awaiting, inactiveBeforeNanos)
+        .or(() -> inactiveBefore(idle, idleBeforeNanos));
+  }
+
+  private static Optional<ClientConnection> inactiveBefore(
+      Set<ClientConnection> clients, long nanos) {
+    return first(clients).filter(client -> client.lastActiveAtNanos < nanos);
   }
 
   private Optional<ClientConnection> firstUnread(long beforeNanos) {
--- a/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
+++ b/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
@@ -49,7 +49,7 @@
     clients.remove(idle);
     clients.remove(fresh);
     assertEquals(Optional.empty(), clients.evictable(1_000, 0));
-    assertEquals(Optional.empty(), clients.awaitingLongest());
+    assertEquals(Optional.empty(), clients.leastRecentlyActive());
     assertEquals(0, clients.size());
   }
 
@@ -71,6 +71,9 @@
     waiting.submitted = true;
     assertSame(fresh, evicted(clients, 50, 21));
     waiting.submitted = false;
+    clients.messageReceived(fresh, 90);
+    assertSame(flooding, evicted(clients, 150, 21), "before one that is idle for long");
+    assertEquals(Optional.empty(), clients.evictable(90, 20), "idle for too short a time");
     clients.inputRead(flooding);
     assertSame(fresh, evicted(clients, 50, 21));
   }
@@ -80,7 +83,7 @@
       ClientConnectionTable clients, long inactiveBeforeNanos, long unreadBeforeNanos) {
     return clients
         .evictable(inactiveBeforeNanos, unreadBeforeNanos)
-        .or(clients::awaitingLongest)
+        .or(clients::leastRecentlyActive)
         .orElseThrow();
   }
 
