The test of repeated ids waits for engines alone, not for the order of events

Cause: repeatedIdStartsOnlyAfterFirstAttemptIsCancelled cleared the events of a round once the answer was read; the end of the attempt may be reported after that, and was taken for the next round's query.

Change: the test does not look at events. What it asserts is the same: each answer, and QUIT before ASK.

--- a/gateway/src/test/java/reachloom/gateway/DepartedClientTest.java
+++ b/gateway/src/test/java/reachloom/gateway/DepartedClientTest.java
@@ -20,7 +20,6 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import reachloom.gateway.RecordingEngine.Line;
-import reachloom.scheduler.api.Query;
 import reachloom.standin.FakeChangeLog;
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.ThriftClient;
@@ -151,7 +150,6 @@
         gateway.forwardTo = query -> OrderingHarness.ENGINE;
         ThriftClient leaving = new ThriftClient(gateway.config.listen());
         leaving.execute("select 1", "verb", HELD_CLASS, "txn", id, "limit", "20000");
-        gateway.nextEvent(Query.class);
         atNanos(engine, "ASK " + id);
         gateway.forwardTo = query -> OTHER_ENGINE;
         try (ThriftClient next = new ThriftClient(gateway.config.listen())) {
@@ -162,7 +160,6 @@
         }
         long cancelledAtNanos = atNanos(engine, "QUIT " + id);
         early += atNanos(other, "ASK " + id) < cancelledAtNanos ? 1 : 0;
-        gateway.events.clear();
       }
       assertEquals(0, early, "attempts of " + ROUNDS + " that started before the cancel arrived");
     }
