lab soak: drawn hostile clients, signals in series, connections used until SIGKILL

TERMINATE_IN_USE: clients go on using open connections after SIGTERM, SIGKILL comes 3.7 s after it, and what is open then is a broken rule. `lab slopes` knows the new name of the thread that serves sockets.

--- a/lab/src/main/java/reachloom/lab/Lab.java
+++ b/lab/src/main/java/reachloom/lab/Lab.java
@@ -14,6 +14,7 @@
 import reachloom.lab.gossip.GossipCommand;
 import reachloom.lab.scale.ScaleCommand;
 import reachloom.lab.slopes.SlopesCommand;
+import reachloom.lab.soak.SoakCommand;
 
 /** Entry point of the laboratory: runs the command that the first argument names. */
 public final class Lab {
@@ -27,6 +28,7 @@
     COMMANDS.put("fleet", new FleetCommand());
     COMMANDS.put("slopes", new SlopesCommand());
     COMMANDS.put("scale", new ScaleCommand());
+    COMMANDS.put("soak", new SoakCommand());
   }
 
   private Lab() {}
--- a/lab/src/main/java/reachloom/lab/cluster/Clients.java
+++ b/lab/src/main/java/reachloom/lab/cluster/Clients.java
@@ -7,7 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntPredicate;
+import java.util.OptionalInt;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.AttributeKey;
@@ -63,27 +63,39 @@
     }
   }
 
+  /** What clients know of gateways. */
+  interface Gateways {
+    /** Returns whether a gateway's process was killed. */
+    boolean wasKilled(int gateway);
+
+    /** Returns whether a gateway shuts down, and accepts no connections. */
+    boolean isTerminating(int gateway);
+
+    /** Returns a gateway that accepts connections, if any does. */
+    OptionalInt other();
+  }
+
   private final ClusterModel model;
   private final HistoryChecker checker;
-  private final List<InetSocketAddress> gateways;
-  private final IntPredicate wasKilled;
+  private final List<InetSocketAddress> addresses;
+  private final Gateways gateways;
   private final NioSocketConnector connector = new NioSocketConnector(SOCKET_THREADS);
   private final Map<Integer, List<GatewayConnection>> connections = new HashMap<>();
 
   /**
    * Creates clients of the gateways at the given addresses.
    *
-   * @param wasKilled returns whether a gateway's process was killed
+   * @param gateways what clients know of the gateways
    */
   Clients(
       ClusterModel model,
       HistoryChecker checker,
-      List<InetSocketAddress> gateways,
-      IntPredicate wasKilled) {
+      List<InetSocketAddress> addresses,
+      Gateways gateways) {
     this.model = model;
     this.checker = checker;
+    this.addresses = addresses;
     this.gateways = gateways;
-    this.wasKilled = wasKilled;
     connector.getSessionConfig().setTcpNoDelay(true);
     connector.setHandler(
         new DecodingHandler<>(
@@ -133,11 +145,31 @@
     sendOn(new PendingQuery(a, model.time.now(), false), gateway);
   }
 
+  /** Returns whether a query can be sent to a gateway on a connection that is established. */
+  boolean hasConnection(int gateway) {
+    return connections.getOrDefault(gateway, List.of()).stream()
+        .anyMatch(c -> !c.closed && c.session != null && c.open.size() < MAX_OPEN);
+  }
+
+  /** Sends a query again after its connection has ended. */
+  private void resend(PendingQuery q, int gateway) {
+    int target = gateway;
+    if (gateways.isTerminating(gateway) && !hasConnection(gateway)) {
+      target = gateways.other().orElse(gateway);
+      checker.queryMoved(q.arrival.number(), target);
+    }
+    sendOn(new PendingQuery(q.arrival, model.time.now(), true), target);
+  }
+
   private void sendOn(PendingQuery q, int gateway) {
     List<GatewayConnection> of = connections.computeIfAbsent(gateway, g -> new ArrayList<>());
     of.removeIf(c -> c.closed);
+    boolean mustBeOpen = gateways.isTerminating(gateway);
     GatewayConnection free =
-        of.stream().filter(c -> c.open.size() < MAX_OPEN).findFirst().orElse(null);
+        of.stream()
+            .filter(c -> c.open.size() < MAX_OPEN && (c.session != null || !mustBeOpen))
+            .findFirst()
+            .orElse(null);
     if (free == null) {
       free = new GatewayConnection(gateway);
       of.add(free);
@@ -148,7 +180,7 @@
 
   private void connect(GatewayConnection c) {
     ConnectFuture future =
-        connector.connect(gateways.get(c.gateway), (s, f) -> s.setAttribute(CONNECTION, c));
+        connector.connect(addresses.get(c.gateway), (s, f) -> s.setAttribute(CONNECTION, c));
     future.addListener(
         f -> {
           if (!future.isConnected()) {
@@ -162,7 +194,7 @@
       return;
     }
     c.closed = true;
-    boolean dead = wasKilled.test(c.gateway);
+    boolean dead = gateways.wasKilled(c.gateway);
     c.open
         .values()
         .forEach(
@@ -172,7 +204,7 @@
                       && !q.resent
                       && (c.session == null || model.time.now() - q.at < RESEND_WINDOW);
               if (resend) {
-                sendOn(new PendingQuery(q.arrival, model.time.now(), true), c.gateway);
+                resend(q, c.gateway);
               } else {
                 checker.connectionClosed(q.arrival.number(), dead);
               }
--- a/lab/src/main/java/reachloom/lab/cluster/EngineHosts.java
+++ b/lab/src/main/java/reachloom/lab/cluster/EngineHosts.java
@@ -20,6 +20,7 @@
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import reachloom.gateway.wire.DecodingHandler;
 import reachloom.gateway.wire.Listener;
+import reachloom.standin.HostileClient;
 import reachloom.standin.model.EngineModel;
 import reachloom.standin.model.EngineModel.Condition;
 
@@ -264,7 +265,13 @@
       return;
     }
     switch (command.word()) {
-      case "ASK" -> runQuery(c, command, sentAt);
+      case "ASK" -> {
+        if (command.id().startsWith(HostileClient.ID_PREFIX)) { // no query of the workload
+          send(c, command.id() + " OK fetches=1,effort=1,high=1", ROW);
+        } else {
+          runQuery(c, command, sentAt);
+        }
+      }
       case "QUIT" -> {
         c.engine.cancel(command.id());
         checker.attemptEnded(c.open.remove(command.id()), model.time.now());
--- a/lab/src/main/java/reachloom/lab/cluster/Fault.java
+++ b/lab/src/main/java/reachloom/lab/cluster/Fault.java
@@ -45,11 +45,15 @@
    * What a fault does. Of those whose names say little: {@code CROWD} limits the connections that
    * an engine accepts; {@code LATE} delays the events of the endpoint list; {@code STALE} holds
    * them back; {@code DOWN} also makes the list unreachable; {@code PART} cuts the links between
-   * regions and the list beyond the first region; {@code LOSE} kills control machines.
+   * regions and the list beyond the first region; {@code LOSE} kills control machines; {@code
+   * TERMINATE_IN_USE} terminates a gateway whose clients keep using their connections, and kills it
+   * as early as the platform does; {@code HANG_UP} makes a gateway read its configuration again.
    */
   public enum Kind {
     KILL(Who.GATEWAYS),
     TERMINATE(Who.GATEWAYS),
+    TERMINATE_IN_USE(Who.GATEWAYS),
+    HANG_UP(Who.GATEWAYS),
     HALT(Who.GATEWAYS),
     HANG(Who.ENGINES),
     ERR(Who.ENGINES),
--- a/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
+++ b/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
@@ -18,6 +18,21 @@
     /** Requests a gateway's shutdown, as a planned restart does. */
     void terminate(int gateway);
 
+    /** Requests a gateway's shutdown while its clients go on using their connections to it. */
+    default void terminateInUse(int gateway) {
+      throw new IllegalStateException("only clients of processes go on using their connections");
+    }
+
+    /** Kills a gateway whose shutdown was requested, if its process has not ended by itself. */
+    default void killTerminated(int gateway) {
+      throw new IllegalStateException("only processes are killed after their shutdown");
+    }
+
+    /** Makes a gateway read its configuration again. */
+    default void hangUp(int gateway) {
+      throw new IllegalStateException("only processes are signalled");
+    }
+
     /** Suspends a gateway, or resumes it. */
     void halt(int gateway, boolean now);
 
@@ -35,6 +50,9 @@
     }
   }
 
+  /** The platform kills a gateway no sooner than this after the request to shut down. */
+  private static final long EARLIEST_KILL = 3_700 * ClusterPlan.MILLISECOND;
+
   private final ClusterModel model;
   private final int gatewayCount;
   private final Consumer<Fault> otherFaults;
@@ -127,6 +145,12 @@
                 gateways.terminate(g);
                 schedule(fault.length(), () -> gateways.start(g));
               }
+              case TERMINATE_IN_USE -> {
+                gateways.terminateInUse(g);
+                schedule(EARLIEST_KILL, () -> gateways.killTerminated(g));
+                schedule(Math.max(EARLIEST_KILL, fault.length()), () -> gateways.start(g));
+              }
+              case HANG_UP -> gateways.hangUp(g);
               case FAIL_CALLS -> {
                 gateways.failCalls(g, (int) fault.by());
                 schedule(fault.length(), () -> gateways.failCalls(g, 0));
--- a/lab/src/main/java/reachloom/lab/cluster/HistoryChecker.java
+++ b/lab/src/main/java/reachloom/lab/cluster/HistoryChecker.java
@@ -66,8 +66,8 @@
   static final class QueryRecord {
     final Arrival arrival;
 
-    /** The gateway to which the client sent the query. */
-    final int gateway;
+    /** The gateway to which the client sent the query last. */
+    int gateway;
 
     final long acceptedAt;
     final List<Attempt> attempts = new ArrayList<>(1);
@@ -181,6 +181,11 @@
     return q;
   }
 
+  /** Records that a client sends a query to another gateway, since its connection has ended. */
+  void queryMoved(long number, int gateway) {
+    queries.get(number).gateway = gateway;
+  }
+
   /** Records a query that could be sent to no gateway. */
   public void unplaced(Arrival a) {
     unplaced.add(a);
--- a/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
@@ -18,12 +18,8 @@
 
 /** A fleet of gateway processes, with engines, change logs and clients on loopback. */
 public final class ProcessFleet implements FaultInjector.Gateways, AutoCloseable {
-  /** Time after which the front end notices that a gateway is down or up, in nanoseconds. */
-  private static final long FRONT_NOTICE = ClusterPlan.SECOND;
-
   private static final long SETTLE_TIME = ClusterPlan.SECOND;
   private static final long MEMORY_SAMPLE_PERIOD = 2 * ClusterPlan.SECOND;
-  private static final long TERMINATE_MARGIN = ClusterPlan.SECOND;
   private static final int SCHEDULER_TIMEOUT_S = 60;
 
   /** The listen address in the configuration of gateways that have no clients. */
@@ -39,13 +35,13 @@
   /** Null if there are no processes beside the gateways. */
   private final SideProcesses sideProcesses;
 
-  private final boolean[] up;
-  private final long[] changedAt;
+  private final GatewayAvailability availability;
   private final long[] starts;
   private HistoryChecker checker;
   private EngineHosts hosts;
   private Clients clients;
   private Workload workload;
+  private Companion companion = (start, end, gateways) -> {};
   private double maxMemoryMb;
   private double totalMemoryMb;
   private long maxLateness;
@@ -83,10 +79,9 @@
     this.sideProcesses = sideProcesses;
     model = new ClusterModel(plan, time);
     random = new SplittableRandom(plan.seed() * 13 + 11);
-    up = new boolean[plan.gateways()];
-    changedAt = new long[plan.gateways()];
     starts = new long[totalGateways()];
     processes = new Processes(folder, jar, plan.gateways(), heapMb, this::configuration, arguments);
+    availability = new GatewayAvailability(plan.gateways(), processes::wasKilled, random);
   }
 
   private int totalGateways() {
@@ -201,10 +196,11 @@
     long end = start + plan.seconds() * ClusterPlan.SECOND;
     runOnScheduler(
         () -> {
-          java.util.Arrays.fill(up, true);
+          availability.allUp();
           checker.begin(start);
           workload = new Workload(plan, start);
-          clients = new Clients(model, checker, processes.addresses(), processes::wasKilled);
+          clients = new Clients(model, checker, processes.addresses(), availability);
+          companion.begin(start, end, processes.addresses());
           new FaultInjector(
                   model, totalGateways(), this, workload, checker, this::injectInstallationFault)
               .play(script, start, () -> time.now() < end);
@@ -240,6 +236,11 @@
     return figures.get();
   }
 
+  /** Sets what runs beside the queries; to be called before {@link #play}. */
+  public void setCompanion(Companion companion) {
+    this.companion = companion;
+  }
+
   /** Returns the outcomes, by class, of the queries that arrived from a second on. */
   public List<HistoryChecker.Row> rows(double fromSecond) {
     AtomicReference<List<HistoryChecker.Row>> rows = new AtomicReference<>();
@@ -252,9 +253,9 @@
   }
 
   private void sampleMemory(long end) {
-    double[] memory = processes.memory();
-    maxMemoryMb = Math.max(maxMemoryMb, memory[0]);
-    totalMemoryMb = Math.max(totalMemoryMb, memory[1]);
+    ProcessMemory memory = processes.memory();
+    maxMemoryMb = Math.max(maxMemoryMb, memory.most());
+    totalMemoryMb = Math.max(totalMemoryMb, memory.sum());
     if (time.now() < end) {
       time.at(time.now() + MEMORY_SAMPLE_PERIOD, () -> sampleMemory(end));
     }
@@ -274,25 +275,19 @@
   }
 
   private void route(Arrival a) {
-    int g = a.gateway();
-    if (!up[g] && time.now() > changedAt[g] + FRONT_NOTICE) {
-      List<Integer> others = new ArrayList<>();
-      for (int i = 0; i < up.length; i++) {
-        if (up[i]) {
-          others.add(i);
-        }
-      }
-      g = others.isEmpty() ? g : others.get(random.nextInt(others.size()));
+    if (availability.isTerminating(a.gateway()) && clients.hasConnection(a.gateway())) {
+      clients.send(a, a.gateway());
+      return;
     }
-    if (up[g]) {
-      clients.send(a, g);
+    int gateway = availability.route(a.gateway(), time.now());
+    if (availability.isUp(gateway)) {
+      clients.send(a, gateway);
     } else {
       checker.unplaced(a);
     }
   }
 
-  private void markDown(int gateway) {
-    up[gateway] = false;
+  private void reportDown(int gateway) {
     if (sideProcesses != null) {
       sideProcesses.onGatewayRunning(gateway, false);
     }
@@ -311,8 +306,8 @@
       sideProcesses.kill(gateway);
       return;
     }
-    markDown(gateway);
-    changedAt[gateway] = time.now();
+    availability.killed(gateway, time.now());
+    reportDown(gateway);
     processes.kill(gateway);
   }
 
@@ -322,12 +317,34 @@
       sideProcesses.terminate(gateway);
       return;
     }
-    markDown(gateway);
-    // The front end removes a gateway before a planned restart, so it need not notice it.
-    changedAt[gateway] = time.now() - FRONT_NOTICE - TERMINATE_MARGIN;
+    availability.removed(gateway, time.now());
+    reportDown(gateway);
     processes.terminate(gateway);
   }
 
+  @Override
+  public void terminateInUse(int gateway) {
+    if (availability.isUp(gateway)) {
+      availability.terminatesInUse(gateway, time.now());
+      processes.terminate(gateway);
+    }
+  }
+
+  @Override
+  public void killTerminated(int gateway) {
+    if (availability.isTerminating(gateway)) {
+      processes.killTerminated(gateway);
+      availability.ended(gateway);
+    }
+  }
+
+  @Override
+  public void hangUp(int gateway) {
+    if (availability.isUp(gateway) || availability.isTerminating(gateway)) { // not while it starts
+      processes.hangUp(gateway);
+    }
+  }
+
   @Override
   public void halt(int gateway, boolean now) {
     if (gateway >= plan.gateways()) {
@@ -359,7 +376,7 @@
             time.at(
                 0,
                 () -> {
-                  up[gateway] = true;
+                  availability.started(gateway);
                   if (sideProcesses != null) {
                     sideProcesses.onGatewayRunning(gateway, true);
                   }
--- a/lab/src/main/java/reachloom/lab/cluster/Processes.java
+++ b/lab/src/main/java/reachloom/lab/cluster/Processes.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -51,6 +52,7 @@
   private final List<InetSocketAddress> addresses = new ArrayList<>();
   private final List<Process> running = new ArrayList<>();
   private final Set<Integer> killed = new HashSet<>();
+  private final Set<Integer> killedAfterTermination = new HashSet<>();
   private final ExecutorService starters = Executors.newFixedThreadPool(CONCURRENT_STARTS);
   private final Process watcher;
   private final Thread hook = new Thread(this::killAll);
@@ -212,6 +214,7 @@
     watcher.getOutputStream().write((p.pid() + "\n").getBytes(StandardCharsets.US_ASCII));
     watcher.getOutputStream().flush();
     killed.remove(gateway);
+    killedAfterTermination.remove(gateway);
   }
 
   /**
@@ -290,6 +293,22 @@
     running.get(gateway).destroy();
   }
 
+  /** Kills a gateway that was terminated, if its process has not ended; that is no crash. */
+  synchronized void killTerminated(int gateway) {
+    if (running.get(gateway).isAlive()) {
+      killedAfterTermination.add(gateway);
+      running.get(gateway).destroyForcibly();
+    }
+  }
+
+  /** Makes a gateway reload its configuration (SIGHUP). */
+  void hangUp(int gateway) {
+    Process p = running.get(gateway);
+    if (p != null && p.isAlive()) {
+      signal(List.of("kill", "-HUP", Long.toString(p.pid())), "gateway " + gateway);
+    }
+  }
+
   /** Returns the ids of the running processes. */
   synchronized List<Long> pids() {
     return running.stream().filter(p -> p != null && p.isAlive()).map(Process::pid).toList();
@@ -340,37 +359,17 @@
     List<Integer> crashed = new ArrayList<>();
     for (int g = 0; g < running.size(); g++) {
       Process p = running.get(g);
-      if (p != null && !p.isAlive() && !killed.contains(g) && p.exitValue() != 0) {
+      boolean wasSignalled = killed.contains(g) || killedAfterTermination.contains(g);
+      if (p != null && !p.isAlive() && !wasSignalled && p.exitValue() != 0) {
         crashed.add(g);
       }
     }
     return crashed;
   }
 
-  /**
-   * Returns the largest resident memory of a gateway and that of all gateways together, in MB;
-   * processes whose memory cannot be read are left out.
-   */
-  double[] memory() {
-    double most = 0;
-    double sum = 0;
-    for (Process p : List.copyOf(running)) {
-      try {
-        if (p != null && p.isAlive()) {
-          String line =
-              Files.readAllLines(Path.of("/proc/" + p.pid() + "/status")).stream()
-                  .filter(l -> l.startsWith("VmRSS:"))
-                  .findFirst()
-                  .orElse("VmRSS: 0 kB");
-          double mb = Double.parseDouble(line.replaceAll("\\D+", "")) / 1024;
-          most = Math.max(most, mb);
-          sum += mb;
-        }
-      } catch (IOException e) {
-        // the process has just ended
-      }
-    }
-    return new double[] {most, sum};
+  /** Returns the resident memory of the gateways. */
+  ProcessMemory memory() {
+    return ProcessMemory.of(running.stream().filter(Objects::nonNull).toList());
   }
 
   private void killAll() {
--- a/lab/src/main/java/reachloom/lab/slopes/ProcessStatistics.java
+++ b/lab/src/main/java/reachloom/lab/slopes/ProcessStatistics.java
@@ -15,6 +15,9 @@
  */
 record ProcessStatistics(
     long at, double cpu, Map<String, ThreadTimes> threads, double rssMb, int descriptors) {
+  /** The name of the thread that serves the sockets in gateways that figures are compared with. */
+  private static final String FORMER_PROCESSOR = "HalfClosing";
+
   private static final double TICKS_PER_SECOND = 100; // on every Linux
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double KILOBYTES_PER_MEGABYTE = 1_024;
@@ -87,7 +90,7 @@
     if (name.equals("java")) {
       return "loop";
     }
-    if (name.startsWith("HalfClosing")) {
+    if (name.startsWith("SocketProcessor") || name.startsWith(FORMER_PROCESSOR)) {
       return "sockets";
     }
     if (name.startsWith("BoundedAccept") || name.startsWith("NioSocket")) {
