After a stall the event loop waits until the sockets have been read, 250 ms at most

Cause: after a stall the loop took the sockets for read once nothing had been posted for 3 ms, and after 15 ms in any case. Beside load the I/O thread may not have run by then: the list that lay on its socket was applied later.

Change: SocketProcessor tells whether a poll that began after a moment has been worked off (readArrived), and polls without waiting until it has. The loop waits for that, and takes what is queued by then.

Measured: listIsAppliedBeforeEarlierTasksAlthoughReadLateAfterStall fails before (the task comes first), passes after, one run each.

--- a/gateway/src/main/java/reachloom/gateway/EventLoop.java
+++ b/gateway/src/main/java/reachloom/gateway/EventLoop.java
@@ -4,6 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.concurrent.Semaphore;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import reachloom.flowcontrol.FlowController;
 import reachloom.gateway.state.DeadlineQueue;
 import reachloom.gateway.wire.ConnectionInput;
@@ -32,9 +34,12 @@
   /** After a stall, the sockets count as read once no task has been posted for this long. */
   private static final long SOCKET_QUIET_NANOS = 3 * NANOS_PER_MILLI;
 
-  /** The longest wait after a stall for the sockets to be read. */
+  /** The longest time after a stall for which tasks that the sockets post are awaited. */
   private static final long MAX_SOCKET_DRAIN_NANOS = 15 * NANOS_PER_MILLI;
 
+  /** The longest wait after a stall until the sockets have been read at all. */
+  private static final long MAX_SOCKET_WAIT_NANOS = 250 * NANOS_PER_MILLI;
+
   private static final long MAX_WAIT_NANOS = PauseDetector.REPORT_INTERVAL_NANOS;
 
   /** Bytes of unhandled messages at which reading from the sockets blocks. */
@@ -64,6 +69,7 @@
   private final Semaphore freeBytes = new Semaphore(MAX_QUEUED_BYTES);
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
   private Runnable iterationEndAction = () -> {};
+  private Supplier<BooleanSupplier> socketReader = () -> () -> true;
   private long longestIterationNanos;
   private volatile boolean ended;
 
@@ -145,6 +151,14 @@
     iterationEndAction = action;
   }
 
+  /**
+   * Sets what reads the sockets after a stall. It begins to read all that has arrived when it is
+   * called, and the result tells whether that is read and posted.
+   */
+  public void setSocketReader(Supplier<BooleanSupplier> reader) {
+    socketReader = reader;
+  }
+
   /** Returns the bytes of messages that wait to be handled. */
   int queuedBytes() {
     return MAX_QUEUED_BYTES - freeBytes.availablePermits();
@@ -208,22 +222,37 @@
    * list that has long been replaced.
    */
   private void runTasksReadAfterStall(Task firstTask) throws InterruptedException {
-    long until = now() + MAX_SOCKET_DRAIN_NANOS;
+    long quietBy = now() + MAX_SOCKET_DRAIN_NANOS;
+    long readBy = now() + MAX_SOCKET_WAIT_NANOS;
+    BooleanSupplier socketsRead = socketReader.get();
     ArrayDeque<Task> others = new ArrayDeque<>();
-    Task task = firstTask != null ? firstTask : queue.poll(SOCKET_QUIET_NANOS);
-    while (task != null) {
-      if (task.first()) {
-        run(task);
-      } else {
-        others.add(task);
+    Task task = firstTask;
+    boolean waiting = true;
+    while (waiting) {
+      boolean read = socketsRead.getAsBoolean();
+      if (task == null) {
+        task = queue.poll(SOCKET_QUIET_NANOS);
       }
-      task = now() < until ? queue.poll(SOCKET_QUIET_NANOS) : null;
+      waiting = now() < (read ? quietBy : readBy) && !(read && task == null);
+      runIfFirst(task, others);
+      task = null;
+    }
+    for (int queued = queue.size(); queued > 0; queued--) {
+      runIfFirst(queue.poll(), others);
     }
     for (Task other = others.poll(); other != null; other = others.poll()) {
       run(other);
     }
   }
 
+  private void runIfFirst(Task task, ArrayDeque<Task> others) {
+    if (task != null && task.first()) {
+      run(task);
+    } else if (task != null) {
+      others.add(task);
+    }
+  }
+
   private void run(Task task) {
     freeBytes.release(task.queuedBytes());
     run(task.action());
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import reachloom.config.EngineMember;
 import reachloom.config.GatewayConfig;
@@ -94,6 +95,7 @@
     int maxClients = config.maxSockets() / SOCKET_SHARE_DIVISOR;
     int maxTransient = maxClients / TRANSIENT_CONNECTION_DIVISOR;
     sockets = new Sockets(maxClients + maxTransient, loop.pauses());
+    loop.setSocketReader(sockets::readArrived);
     closing =
         new LingeringClose(loop, sockets, config.transport().dialTimeoutNanos(), maxTransient);
     engines = engineClient(config.maxSockets() / SOCKET_SHARE_DIVISOR);
@@ -190,6 +192,11 @@
     handler.setLatestDeadline(deadlineNanos);
   }
 
+  /** Reads what has arrived on all connections; the result tells whether that is done. */
+  public BooleanSupplier readArrived() {
+    return sockets.readArrived();
+  }
+
   /** Returns the number of open requests. */
   public int openRequests() {
     return requests.open().size();
--- a/gateway/src/main/java/reachloom/gateway/wire/SocketProcessor.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/SocketProcessor.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -47,6 +48,16 @@
 
   private BoundedAcceptor acceptor;
   private long polls;
+  private long pollBeganAtNanos;
+
+  /** What arrived before this time has been read, but for the rest of unread input. */
+  private volatile long readUntilNanos;
+
+  /** The number of connections; without any, MINA ends this processor's thread. */
+  private volatile int connections;
+
+  /** The latest time until which somebody waits for the sockets to be read. */
+  private volatile long readRequestedNanos;
 
   SocketProcessor(
       Executor threads, MonotonicClock clock, PauseDetector pauses, LocalFailures failures) {
@@ -54,7 +65,10 @@
     this.clock = clock;
     this.pauses = pauses;
     this.failures = failures;
-    history = new PollHistory(clock.now());
+    pollBeganAtNanos = clock.now();
+    readUntilNanos = pollBeganAtNanos;
+    readRequestedNanos = pollBeganAtNanos;
+    history = new PollHistory(pollBeganAtNanos);
   }
 
   /** Sets the acceptor of the client connections; to be called before it accepts any. */
@@ -64,16 +78,30 @@
 
   @Override
   protected int select(long timeoutMs) throws Exception {
+    readUntilNanos = pollBeganAtNanos;
     resumeReading();
     reportReadCompletely();
-    long beganAtNanos = clock.now();
-    int selected = unread.isEmpty() ? super.select(timeoutMs) : selectNow();
-    history.waited(beganAtNanos, clock.now());
+    pollBeganAtNanos = clock.now();
+    boolean mayWait = unread.isEmpty() && readUntilNanos >= readRequestedNanos;
+    int selected = mayWait ? super.select(timeoutMs) : selectNow();
+    history.waited(pollBeganAtNanos, clock.now());
     polls++;
     return selected;
   }
 
-  /** Polls without waiting, to know of the connections with unread input whether they have any. */
+  /**
+   * Reads what has arrived on all connections. May be called from any thread.
+   *
+   * @return whether that has been read and passed on
+   */
+  BooleanSupplier readArrived() {
+    long now = clock.now();
+    readRequestedNanos = now;
+    wakeup();
+    return () -> readUntilNanos >= now || connections == 0;
+  }
+
+  /** Polls without waiting: to know whether input is unread, or until what has arrived is read. */
   private int selectNow() throws IOException {
     wakeupCalled.set(true); // MINA takes a poll that neither waits nor finds any for a fault
     return selector.selectNow();
@@ -122,6 +150,7 @@
   @Override
   protected void init(NioSession session) throws Exception {
     super.init(session);
+    connections++;
     session.setAttribute(FIRST_POLL, polls + 1);
     long windowBytes =
         session.getHandler() instanceof DecodingHandler<?> handler
@@ -130,6 +159,12 @@
     ConnectionInput.open(session, this, flow.openWindow(windowBytes));
   }
 
+  @Override
+  protected void destroy(NioSession session) throws Exception {
+    connections--;
+    super.destroy(session);
+  }
+
   @Override
   protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
     try {
--- a/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/Sockets.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
@@ -135,6 +136,14 @@
     config.setWriteTimeout(0);
   }
 
+  /**
+   * Reads what has arrived on all connections; the result tells whether that has been read and
+   * passed on.
+   */
+  public BooleanSupplier readArrived() {
+    return processor.readArrived();
+  }
+
   /** Writes bytes to a connection. */
   public static WriteFuture write(IoSession session, ByteBuffer bytes) {
     return session.write(IoBuffer.wrap(bytes));
--- a/gateway/src/test/java/reachloom/gateway/EngineConnectionOrderingTest.java
+++ b/gateway/src/test/java/reachloom/gateway/EngineConnectionOrderingTest.java
@@ -45,6 +45,12 @@
   private static final int CHANGES_EVENT = 2;
   private static final String NEW_ENGINE = "s-00000003";
 
+  /** Longer than the interval of the gateway's sweeps, the first deadline that is late then. */
+  private static final long STALL_MS = 500;
+
+  /** Longer than the loop waits for further tasks once the sockets are read. */
+  private static final long SOCKET_DELAY_MS = 40;
+
   @TempDir Path folder;
 
   private PausedPeer engine;
@@ -372,4 +378,22 @@
       assertEquals("x\ty\tz\n", client.reply().body());
     }
   }
+
+  // ---- Sockets that are read late after a stall ----
+
+  /** Queries went by a list that had been replaced, where the I/O thread ran late after a pause. */
+  @Test
+  void listIsAppliedBeforeEarlierTasksAlthoughReadLateAfterStall() throws Exception {
+    Connection log = startGatewayAndLog();
+    CountDownLatch resumeSockets = gateway.blockSockets();
+    CountDownLatch resumeLoop = gateway.stallLoop();
+    gateway.runOnLoop(() -> gateway.events.add("task"));
+    log.write(up(1, engine.address(), System.currentTimeMillis()));
+    Thread.sleep(STALL_MS);
+    resumeLoop.countDown();
+    Thread.sleep(SOCKET_DELAY_MS);
+    resumeSockets.countDown();
+    assertEquals(EngineEndpoint.class, gateway.nextEvent(List.class).get(0).getClass());
+    assertEquals("task", gateway.nextEvent(String.class));
+  }
 }
--- a/gateway/src/test/java/reachloom/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/reachloom/gateway/GatewayHarness.java
@@ -149,17 +149,33 @@
         0,
         () -> {
           action.run();
-          paused.countDown();
-          try {
-            resume.await(20, TimeUnit.SECONDS);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
+          await(paused, resume);
         });
     assertTrue(paused.await(10, TimeUnit.SECONDS));
     return resume;
   }
 
+  /**
+   * Pauses the loop in a deadline until the returned latch opens; returns once it is paused. If it
+   * goes on only after the next deadline is due, that is a stall, as of a process that did not run.
+   */
+  CountDownLatch stallLoop() throws InterruptedException {
+    CountDownLatch paused = new CountDownLatch(1);
+    CountDownLatch resume = new CountDownLatch(1);
+    runOnLoop(() -> loop.deadlines().add(loop.now(), () -> await(paused, resume)));
+    assertTrue(paused.await(10, TimeUnit.SECONDS));
+    return resume;
+  }
+
+  private static void await(CountDownLatch paused, CountDownLatch resume) {
+    paused.countDown();
+    try {
+      resume.await(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * While the loop is paused: waits until the I/O thread has read everything that was sent before.
    * It reads the connections in rounds: once a second message has been read, the round of the first
