At the end of a shutdown what has arrived is read and answered before connections close

Cause: connections were closed once no request was open, whatever lay unread on them. With much to read a request may lie there for longer than the 50 ms within which its client sends it again.

Change: closing waits until all is read that had arrived at the last check, 50 ms at most; a request found then is served, or answered at once if all answers are due.

ShutdownOrderingTest passes. No test of its own: the close of a process under floods is played by the soak only.

--- a/gateway/src/main/java/reachloom/gateway/lifecycle/GatewayServer.java
+++ b/gateway/src/main/java/reachloom/gateway/lifecycle/GatewayServer.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import reachloom.config.ConfigException;
 import reachloom.config.GatewayConfig;
 import reachloom.config.GossipSettings;
@@ -60,6 +61,12 @@
    */
   private static final long CLOSE_DELAY_NANOS = 120 * NANOS_PER_MILLI;
 
+  /** What has arrived is read within this time before connections are closed. */
+  private static final long MAX_READ_TIME_NANOS = 50 * NANOS_PER_MILLI;
+
+  /** Interval at which it is checked whether that is read. */
+  private static final long READ_POLL_INTERVAL_NANOS = NANOS_PER_MILLI;
+
   /** Clients may take this long to close their connections after the gateway shuts its output. */
   private static final long MAX_CLOSE_TIME_NANOS = 100 * NANOS_PER_MILLI;
 
@@ -89,6 +96,9 @@
   private boolean stopWhenReady;
   private volatile int exitStatus;
 
+  /** When all requests are answered that arrived after SIGTERM, at the latest. */
+  private long respondByNanos;
+
   /** When the shutdown last observed an open request. */
   private long lastOpenAtNanos;
 
@@ -323,7 +333,7 @@
     long now = loop.now();
     long longestDeadline =
         config.settings().classes().stream().mapToLong(QueryClass::deadlineNanos).max().orElse(0);
-    long respondBy =
+    respondByNanos =
         terminatedAtNanos + Math.min(longestDeadline, MAX_DEADLINE_NANOS) + RESPONSE_MARGIN_NANOS;
     LOG.log(
         Level.INFO, "{0} shuts down with {1} open requests", config.name(), gateway.openRequests());
@@ -331,8 +341,8 @@
     if (gossip != null) {
       gossip.stop();
     }
-    gateway.setLatestDeadline(respondBy);
-    loop.deadlines().add(respondBy, gateway::expireOpenRequests);
+    gateway.setLatestDeadline(respondByNanos);
+    loop.deadlines().add(respondByNanos, gateway::expireOpenRequests);
     loop.deadlines().add(now + MIN_DRAIN_TIME_NANOS, this::closeOnceDrained);
   }
 
@@ -345,8 +355,26 @@
       loop.deadlines().add(now + SHUTDOWN_POLL_INTERVAL_NANOS, this::closeOnceDrained);
       return;
     }
+    closeOnceRead(gateway.readArrived(), now + MAX_READ_TIME_NANOS);
+  }
+
+  /**
+   * Closes all connections once what arrived on them before the last check is read and handled, so
+   * that only requests which have just been sent cross the close; or after a time.
+   */
+  private void closeOnceRead(BooleanSupplier read, long latestNanos) {
+    long now = loop.now();
+    if (now < latestNanos && !read.getAsBoolean()) {
+      loop.deadlines().add(now + READ_POLL_INTERVAL_NANOS, () -> closeOnceRead(read, latestNanos));
+      return;
+    }
+    if (now < respondByNanos && gateway.openRequests() > 0) {
+      closeOnceDrained();
+      return;
+    }
+    gateway.expireOpenRequests();
     gateway.close();
-    endOnceClosed(now + MAX_CLOSE_TIME_NANOS);
+    endOnceClosed(loop.now() + MAX_CLOSE_TIME_NANOS);
   }
 
   private void endOnceClosed(long latestNanos) {
--- a/lab/src/main/java/reachloom/lab/cluster/GatewayAvailability.java
+++ b/lab/src/main/java/reachloom/lab/cluster/GatewayAvailability.java
@@ -70,6 +70,11 @@
     return up[gateway];
   }
 
+  /** Returns whether more than half of the gateways are up. */
+  boolean mostAreUp() {
+    return 2 * IntStream.range(0, up.length).filter(i -> up[i]).count() > up.length;
+  }
+
   /** Returns the gateway to which a query of a gateway is sent. */
   int route(int gateway, long now) {
     boolean noticed = !up[gateway] && now > changedAt[gateway] + FRONT_NOTICE;
--- a/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
@@ -324,7 +324,7 @@
 
   @Override
   public void terminateInUse(int gateway) {
-    if (availability.isUp(gateway)) {
+    if (availability.isUp(gateway) && availability.mostAreUp()) {
       availability.terminatesInUse(gateway, time.now());
       processes.terminate(gateway);
     }
