--- a/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
@@ -23,8 +23,8 @@
   private static final long MAX_STATEMENT_BYTES = 8L << 20;
 
   /**
-   * At most 1/n of the requests may wait until the input of their clients is read, so that clients
-   * that send without end leave room for others.
+   * At most 1/n of the requests, or those of one connection, may wait until the input of their
+   * clients is read, so that clients that send without end leave room for others.
    */
   private static final int WAITING_DIVISOR = 4;
 
@@ -43,7 +43,7 @@
     this.loop = loop;
     this.clients = clients;
     slots = new GenerationalSlots<>(maxRequests);
-    maxWaiting = Math.max(1, maxRequests / WAITING_DIVISOR);
+    maxWaiting = Math.max(MAX_OPEN_PER_CONNECTION, maxRequests / WAITING_DIVISOR);
   }
 
   /**
--- a/gateway/src/main/java/reachloom/gateway/SubmissionGate.java
+++ b/gateway/src/main/java/reachloom/gateway/SubmissionGate.java
@@ -68,7 +68,7 @@
     }
     OptionalLong blockedUntil = cancelledIds.blockedUntilNanos(request.id);
     if (blockedUntil.isPresent()) {
-      loop.deadlines().add(blockedUntil.getAsLong(), retry);
+      checkAgain(request, blockedUntil.getAsLong(), retry);
       return Verdict.WAIT;
     }
     return Verdict.SUBMIT;
@@ -81,7 +81,21 @@
     if (!earlier.closed && !clientMayLeave) {
       return Verdict.DUPLICATE;
     }
-    loop.deadlines().add(loop.now() + RETRY_INTERVAL_NANOS, retry);
+    checkAgain(request, loop.now() + RETRY_INTERVAL_NANOS, retry);
     return Verdict.WAIT;
   }
+
+  /** Schedules the next check of a request, unless one is scheduled. */
+  private void checkAgain(ClientRequest request, long atNanos, Runnable retry) {
+    if (request.nextCheck == null) {
+      request.nextCheck =
+          loop.deadlines()
+              .add(
+                  atNanos,
+                  () -> {
+                    request.nextCheck = null;
+                    retry.run();
+                  });
+    }
+  }
 }
--- a/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
@@ -74,6 +74,9 @@
   /** Whether the scheduler was told of the request. */
   public boolean submitted;
 
+  /** When it is checked again whether the request may be submitted; null if that is not due. */
+  public Deadline nextCheck;
+
   /** Whether the client needs no response any more: it was sent, or the client is gone. */
   public boolean closed;
 
--- a/gateway/src/main/java/reachloom/gateway/wire/SocketProcessor.java
+++ b/gateway/src/main/java/reachloom/gateway/wire/SocketProcessor.java
@@ -40,7 +40,7 @@
   private final FlowController flow = new FlowController();
   private final PollHistory history;
 
-  /** The connections that may be read again; the only state that other threads access. */
+  /** The connections that may be read again; other threads add them. */
   private final Queue<ConnectionInput> resumable = new ConcurrentLinkedQueue<>();
 
   /** The connections that are not paused and may have unread input. */
