--- a/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
+++ b/lab/src/main/java/reachloom/lab/cluster/FaultInjector.java
@@ -18,8 +18,11 @@
     /** Requests a gateway's shutdown, as a planned restart does. */
     void terminate(int gateway);
 
-    /** Requests a gateway's shutdown while its clients go on using their connections to it. */
-    default void terminateInUse(int gateway) {
+    /**
+     * Requests a gateway's shutdown while its clients go on using their connections to it; returns
+     * false, without any effect, if the gateway or too many others are down.
+     */
+    default boolean terminateInUse(int gateway) {
       throw new IllegalStateException("only clients of processes go on using their connections");
     }
 
@@ -146,9 +149,10 @@
                 schedule(fault.length(), () -> gateways.start(g));
               }
               case TERMINATE_IN_USE -> {
-                gateways.terminateInUse(g);
-                schedule(EARLIEST_KILL, () -> gateways.killTerminated(g));
-                schedule(Math.max(EARLIEST_KILL, fault.length()), () -> gateways.start(g));
+                if (gateways.terminateInUse(g)) {
+                  schedule(EARLIEST_KILL, () -> gateways.killTerminated(g));
+                  schedule(Math.max(EARLIEST_KILL, fault.length()), () -> gateways.start(g));
+                }
               }
               case HANG_UP -> gateways.hangUp(g);
               case FAIL_CALLS -> {
--- a/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
+++ b/lab/src/main/java/reachloom/lab/cluster/ProcessFleet.java
@@ -323,11 +323,13 @@
   }
 
   @Override
-  public void terminateInUse(int gateway) {
-    if (availability.isUp(gateway) && availability.mostAreUp()) {
+  public boolean terminateInUse(int gateway) {
+    boolean possible = availability.isUp(gateway) && availability.mostAreUp();
+    if (possible) {
       availability.terminatesInUse(gateway, time.now());
       processes.terminate(gateway);
     }
+    return possible;
   }
 
   @Override
