Nothing is evicted before what has arrived on it is read

Cause: an idle connection was evicted by what the event loop knew of it. With hundreds of connections to read a request may lie unread for longer than the 50 ms within which its client sends it again.

Change: evictions above the limit wait until all is read that had arrived when they were decided, and leave out connections that were active since. OverloadLog leaves out the start, whose iterations are long.

Looked for elsewhere: idle connections that are closed after 10 s have been read in between; connections to engines are closed by what they sent.

--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import reachloom.flowcontrol.FlowController;
@@ -79,6 +80,9 @@
   /** What a connection is charged with until its end is handled. */
   private static final int CONNECTION_WORK_BYTES = FlowController.MESSAGE_OVERHEAD_BYTES;
 
+  /** Interval at which it is checked whether what has arrived is read. */
+  private static final long READ_POLL_INTERVAL_NANOS = NANOS_PER_MILLI;
+
   /** A client whose input could not be read for this time has sent more than its turns allow. */
   private static final long MAX_UNREAD_NANOS = 100 * NANOS_PER_MILLI;
 
@@ -95,6 +99,9 @@
    */
   private boolean closed;
 
+  /** Whether connections are to be evicted once what has arrived is read. */
+  private boolean evicting;
+
   /**
    * Creates the component without listening yet.
    *
@@ -169,29 +176,47 @@
 
   /**
    * Admits a client; returns false if the table is full and all connections in it have open
-   * requests. Beyond {@code maxClients} another connection is evicted, but only after the tasks
-   * posted so far: what has been read from that connection is handled first.
+   * requests. Beyond {@code maxClients} another connection is evicted, but only once what has
+   * arrived on it is handled.
    */
   private boolean admit(ClientConnection client) {
     if (!table.add(client)) {
-      evictable().or(table::leastRecentlyActive).ifPresent(this::evict);
+      long now = loop.now();
+      evictable(now).or(table::leastRecentlyActive).ifPresent(this::evict);
       return table.add(client);
     }
-    if (table.size() > maxClients) {
-      loop.post(0, this::evictIfAboveLimit);
-    }
+    evictIfAboveLimit();
     return true;
   }
 
+  /**
+   * Evicts connections above the limit once what has arrived by now is read and handled: a request
+   * that lies unread on an idle connection would be lost.
+   */
   private void evictIfAboveLimit() {
-    if (table.size() > maxClients) {
-      evictable().ifPresent(this::evict);
+    if (table.size() > maxClients && !evicting) {
+      evicting = true;
+      evictOnceRead(sockets.readArrived(), loop.now());
     }
   }
 
-  private Optional<ClientConnection> evictable() {
-    long now = loop.now();
-    return table.evictable(now - FIRST_REQUEST_TIMEOUT_NANOS, now - MAX_UNREAD_NANOS);
+  private void evictOnceRead(BooleanSupplier read, long decidedAtNanos) {
+    if (!read.getAsBoolean()) {
+      loop.deadlines()
+          .add(loop.now() + READ_POLL_INTERVAL_NANOS, () -> evictOnceRead(read, decidedAtNanos));
+      return;
+    }
+    evicting = false;
+    Optional<ClientConnection> client = evictable(decidedAtNanos);
+    while (table.size() > maxClients && client.isPresent()) {
+      evict(client.get());
+      client = evictable(decidedAtNanos);
+    }
+  }
+
+  /** Returns a connection that could be evicted at a time, and was not active since. */
+  private Optional<ClientConnection> evictable(long atNanos) {
+    return table.evictable(atNanos - FIRST_REQUEST_TIMEOUT_NANOS, atNanos - MAX_UNREAD_NANOS);
   }
 
   private void evict(ClientConnection client) {
--- a/gateway/src/main/java/reachloom/gateway/OverloadLog.java
+++ b/gateway/src/main/java/reachloom/gateway/OverloadLog.java
@@ -27,7 +27,7 @@
   OverloadLog(EventLoop loop, ResponseWriter responses) {
     this.loop = loop;
     this.responses = responses;
-    loggedAtNanos = loop.now() - INTERVAL_NANOS;
+    loggedAtNanos = loop.now(); // the iterations of a start are long
   }
 
   /** Logs the state of the gateway if it is behind; to be called several times a second. */
