--- a/review/standin-2/src/Rig.java
+++ b/review/standin-2/src/Rig.java
@@ -265,13 +265,10 @@
 
   // ---- Change log ----
 
-  /** A change log: event 1 is in the configuration, each later one is a frame. */
+  /** A change log that has nothing new: event 1 is in the configuration. */
   final class ChangeLog {
     final InetSocketAddress address;
-    private final List<byte[]> events = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
-    /** By how much each byte of it comes late. */
-    volatile long delayMs;
 
     ChangeLog() throws IOException {
       server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -289,67 +286,19 @@
           });
     }
 
-    /** Adds a change of one host: state 0 ready, 1 draining, 2 gone. */
-    void add(int id, InetSocketAddress host, int state, int zone, int kind, int cell, long bornMs) {
-      ByteBuffer frame =
-          ByteBuffer.allocate(40)
-              .putInt(36)
-              .putLong(2 + events.size())
-              .put((byte) 2)
-              .putInt(id)
-              .put(host.getAddress().getAddress())
-              .putShort((short) host.getPort())
-              .put((byte) state)
-              .put((byte) zone)
-              .put((byte) kind)
-              .putShort((short) cell)
-              .putInt(1000)
-              .putLong(bornMs);
-      events.add(frame.array());
-    }
-
     private void serve(Socket s) {
       try (s) {
         s.setTcpNoDelay(true);
         long last = new DataInputStream(s.getInputStream()).readLong();
         detail("change log: asked for what follows event " + last);
-        int next = (int) Math.max(0, last - 1);
-        long beat = System.nanoTime() - 1_000_000_000L;
-        while (true) {
-          byte[] out = null;
-          if (next < events.size()) {
-            out = events.get(next++);
-          } else if (System.nanoTime() - beat >= 1_000_000_000L) {
-            beat = System.nanoTime();
-            out = ByteBuffer.allocate(13).putInt(9).putLong(1 + next).put((byte) 0).array();
-          }
-          if (out == null) {
-            pause(20);
-          } else {
-            send(s, out);
-          }
+        while (true) { // "nothing new", each second
+          s.getOutputStream().write(ByteBuffer.allocate(13).putInt(9).putLong(1).put((byte) 0).array());
+          pause(1_000);
         }
       } catch (IOException e) {
         detail("change log: a connection ended");
       }
     }
-
-    private void send(Socket s, byte[] out) throws IOException {
-      if (delayMs == 0) {
-        s.getOutputStream().write(out);
-        return;
-      }
-      timers.schedule(
-          () -> {
-            try {
-              s.getOutputStream().write(out);
-            } catch (IOException e) {
-              // the gateway has closed the connection
-            }
-          },
-          delayMs,
-          TimeUnit.MILLISECONDS);
-    }
   }
 
   // ---- Warehouse nodes ----
