Wait for arrived input in a class of its own, ArrivalBarrier

Cause: eviction polled the sockets by itself; whoever else has to know what had arrived would write the same again. The poll ended in a deadline, where tasks that the sockets had just posted may still wait. Change: ArrivalBarrier runs actions behind those tasks; ClientConnections uses it. No other behavior changes.

--- a/gateway/src/main/java/reachloom/gateway/ClientConnections.java
+++ b/gateway/src/main/java/reachloom/gateway/ClientConnections.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BooleanSupplier;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import reachloom.flowcontrol.FlowController;
@@ -80,14 +79,12 @@
   /** What a connection is charged with until its end is handled. */
   private static final int CONNECTION_WORK_BYTES = FlowController.MESSAGE_OVERHEAD_BYTES;
 
-  /** Interval at which it is checked whether what has arrived is read. */
-  private static final long READ_POLL_INTERVAL_NANOS = NANOS_PER_MILLI;
-
   /** A client whose input could not be read for this time has sent more than its turns allow. */
   private static final long MAX_UNREAD_NANOS = 100 * NANOS_PER_MILLI;
 
   private final EventLoop loop;
   private final Sockets sockets;
+  private final ArrivalBarrier arrivals;
   private final LingeringClose closing;
   private final ClientConnectionTable table;
   private final int maxClients;
@@ -112,12 +109,14 @@
   ClientConnections(
       EventLoop loop,
       Sockets sockets,
+      ArrivalBarrier arrivals,
       LingeringClose closing,
       ClientConnectionTable table,
       int maxClients,
       Handler handler) {
     this.loop = loop;
     this.sockets = sockets;
+    this.arrivals = arrivals;
     this.closing = closing;
     this.table = table;
     this.maxClients = maxClients;
@@ -196,16 +195,12 @@
   private void evictIfAboveLimit() {
     if (table.size() > maxClients && !evicting) {
       evicting = true;
-      evictOnceRead(sockets.readArrived(), loop.now());
+      long decidedAtNanos = loop.now();
+      arrivals.whenHandled(() -> evictAboveLimit(decidedAtNanos));
     }
   }
 
-  private void evictOnceRead(BooleanSupplier read, long decidedAtNanos) {
-    if (!read.getAsBoolean()) {
-      loop.deadlines()
-          .add(loop.now() + READ_POLL_INTERVAL_NANOS, () -> evictOnceRead(read, decidedAtNanos));
-      return;
-    }
+  private void evictAboveLimit(long decidedAtNanos) {
     evicting = false;
     Optional<ClientConnection> client = evictable(decidedAtNanos);
     while (table.size() > maxClients && client.isPresent()) {
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -119,7 +119,9 @@
     handler =
         new RequestHandler(
             config, loop, requests, responses, attempts, engines, gate, this.scheduler);
-    clients = new ClientConnections(loop, sockets, closing, clientTable, maxClients, handler);
+    ArrivalBarrier arrivals = new ArrivalBarrier(loop, sockets::readArrived);
+    clients =
+        new ClientConnections(loop, sockets, arrivals, closing, clientTable, maxClients, handler);
     changeLog = new ChangeLogClient(loop, sockets, closing, config, this);
   }
 
