Fail a request at once that names another client's open request

Cause: SubmissionGate waited up to 100 ms for the first client to leave and then asked only whether the first request was gone; that it had been answered counted as gone. Statements were not compared. Change: RequestIdPolicy (pure) decides by facts: open, answered or abandoned, same statement, same connection, arrivals handled. An open request holds its id from its arrival; ended ones are remembered for 0.25 s. A client that has left and comes back with the same statement is known by reading what had arrived, not by a time. Why this works: the same facts decide for each length of work, and a request that came before the answer is told by its arrival.

--- a/decisions/src/main/java/reachloom/pause/PauseDetector.java
+++ b/decisions/src/main/java/reachloom/pause/PauseDetector.java
@@ -14,8 +14,11 @@
   /** A process that runs reports at least this often. */
   public static final long REPORT_INTERVAL_NANOS = 25_000_000;
 
-  /** A longer time between two reports is a pause. */
-  static final long MIN_PAUSE_NANOS = 2 * REPORT_INTERVAL_NANOS;
+  /**
+   * A longer time between two reports is a pause. What has arrived is noticed within this time if
+   * there was none.
+   */
+  public static final long MIN_PAUSE_NANOS = 2 * REPORT_INTERVAL_NANOS;
 
   /** A thread that waits for an event goes on at most this long after it, if the process runs. */
   public static final long MAX_WAKE_UP_DELAY_NANOS = 250_000_000;
--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -13,6 +13,7 @@
 import reachloom.config.GatewayConfig;
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.EngineAttempt;
+import reachloom.gateway.state.RequestIdTable;
 import reachloom.gateway.wire.EndpointListEvent;
 import reachloom.gateway.wire.Sockets;
 import reachloom.scheduler.api.AttemptOutcome;
@@ -74,6 +75,7 @@
   private final SchedulerEvents scheduler;
   private final ClientConnectionTable clientTable;
   private final ClientConnections clients;
+  private final RequestIdTable requestIds = new RequestIdTable();
   private final RequestRegistry requests;
   private final RequestHandler handler;
   private final AttemptLifecycle attempts;
@@ -100,7 +102,8 @@
         new LingeringClose(loop, sockets, config.transport().dialTimeoutNanos(), maxTransient);
     engines = engineClient(config.maxSockets() / SOCKET_SHARE_DIVISOR);
     clientTable = new ClientConnectionTable(maxClients + maxTransient);
-    requests = new RequestRegistry(loop, clientTable, config.transport().maxOpenRequests());
+    requests =
+        new RequestRegistry(loop, clientTable, requestIds, config.transport().maxOpenRequests());
     ResponseWriter responses = new ResponseWriter(loop, clientTable, requests);
     overload = new OverloadLog(loop, responses);
     CancelledIds cancelledIds = new CancelledIds(loop);
@@ -115,11 +118,12 @@
             this.scheduler,
             cancelledIds,
             maxAttempts);
-    SubmissionGate gate = new SubmissionGate(loop, clientTable, requests, cancelledIds);
+    ArrivalBarrier arrivals = new ArrivalBarrier(loop, sockets::readArrived);
+    SubmissionGate gate =
+        new SubmissionGate(loop, clientTable, requests, requestIds, cancelledIds, arrivals);
     handler =
         new RequestHandler(
             config, loop, requests, responses, attempts, engines, gate, this.scheduler);
-    ArrivalBarrier arrivals = new ArrivalBarrier(loop, sockets::readArrived);
     clients =
         new ClientConnections(loop, sockets, arrivals, closing, clientTable, maxClients, handler);
     changeLog = new ChangeLogClient(loop, sockets, closing, config, this);
@@ -237,6 +241,8 @@
         requests.size(),
         "ids",
         requests.ids(),
+        "heldIds",
+        requestIds.heldCount(),
         "clients",
         clientTable.size(),
         "statements",
--- a/gateway/src/main/java/reachloom/gateway/RequestHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestHandler.java
@@ -29,6 +29,9 @@
   private static final Logger LOG = GatewayService.LOG;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  private static final String DUPLICATE_ID =
+      "its id is that of an open request, or of one that has just ended";
+
   private final GatewayConfig config;
   private final EventLoop loop;
   private final RequestRegistry requests;
@@ -98,15 +101,17 @@
         RequestFields.read(call.fields(), config)
             .filter(read -> !client.openRequests.containsKey(call.seq()));
     if (fields.isEmpty()) {
-      LOG.log(
-          Level.WARNING,
-          "request {0} failed: a field is missing or invalid, or its sequence number is in use by"
-              + " an open request",
-          call.fields().get("txn"));
-      responses.respondDirectly(client, ThriftWriter.failed(call.seq()));
+      failDirectly(
+          arrival,
+          call,
+          "a field is missing or invalid, or its sequence number is in use by an open request");
       return;
     }
     ClientRequest request = request(arrival, call, fields.get());
+    if (gate.isDuplicate(request)) {
+      failDirectly(arrival, call, DUPLICATE_ID);
+      return;
+    }
     if (!requests.admit(client, request)) {
       LOG.log(
           Level.WARNING,
@@ -124,6 +129,15 @@
     submitWhenPossible(request);
   }
 
+  private void failDirectly(Arrival arrival, ClientCall.Execute call, String reason) {
+    logFailure(call.fields().get("txn"), reason);
+    responses.respondDirectly(arrival.client(), ThriftWriter.failed(call.seq()));
+  }
+
+  private static void logFailure(String id, String reason) {
+    LOG.log(Level.WARNING, "request {0} failed: {1}", id, reason);
+  }
+
   private void submitWhenPossible(ClientRequest request) {
     if (request.submitted || request.closed) {
       return;
@@ -135,6 +149,7 @@
         scheduler.onQuery(now, query(request, now));
       }
       case DUPLICATE -> {
+        logFailure(request.id, DUPLICATE_ID);
         respondFailed(request);
         requests.removeIfDone(request);
       }
@@ -196,6 +211,7 @@
     if (request.closed) {
       return;
     }
+    request.clientGone = true;
     requests.close(request);
     if (request.submitted) {
       scheduler.onClientGone(loop.now(), request.id);
--- a/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
@@ -8,6 +8,7 @@
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.state.GenerationalSlots;
+import reachloom.gateway.state.RequestIdTable;
 
 /**
  * The admitted requests, until they are closed and none of their attempts is in flight. Limits
@@ -30,6 +31,7 @@
 
   private final EventLoop loop;
   private final ClientConnectionTable clients;
+  private final RequestIdTable requestIds;
   private final GenerationalSlots<ClientRequest> slots;
   private final Map<String, ClientRequest> byId = new HashMap<>();
   private final int maxWaiting;
@@ -39,9 +41,11 @@
   private int waiting;
 
   /** Creates an empty registry for at most {@code maxRequests} requests. */
-  RequestRegistry(EventLoop loop, ClientConnectionTable clients, int maxRequests) {
+  RequestRegistry(
+      EventLoop loop, ClientConnectionTable clients, RequestIdTable requestIds, int maxRequests) {
     this.loop = loop;
     this.clients = clients;
+    this.requestIds = requestIds;
     slots = new GenerationalSlots<>(maxRequests);
     maxWaiting = Math.max(MAX_OPEN_PER_CONNECTION, maxRequests / WAITING_DIVISOR);
   }
@@ -81,10 +85,9 @@
 
   /** Closes a request: no further response is sent to its client. */
   void close(ClientRequest request) {
-    if (!request.closed && !request.submitted) {
-      waiting--;
+    if (!request.closed) {
+      closeOpen(request);
     }
-    request.closed = true;
     loop.deadlines().cancel(request.expiryTimer);
     clients
         .find(request.connection)
@@ -95,6 +98,15 @@
             });
   }
 
+  private void closeOpen(ClientRequest request) {
+    if (!request.submitted) {
+      waiting--;
+    }
+    request.closed = true;
+    request.closedAtNanos = loop.now();
+    requestIds.release(request);
+  }
+
   /** Removes a request if it is closed and has no attempt in flight. */
   void removeIfDone(ClientRequest request) {
     if (request.closed && request.attemptsInFlight == 0 && slots.get(request.handle) == request) {
--- a/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
+++ b/gateway/src/main/java/reachloom/gateway/state/ClientRequest.java
@@ -1,6 +1,7 @@
 package reachloom.gateway.state;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import reachloom.gateway.state.DeadlineQueue.Deadline;
 
@@ -37,6 +38,14 @@
    */
   public record Origin(long connection, int sequence) {}
 
+  /**
+   * The wait of a request until it is known whether the client of an earlier one has left.
+   *
+   * @param sinceNanos when the wait began
+   * @param arrivalsHandled whether everything that had arrived by then is handled
+   */
+  public record DepartureWait(long sinceNanos, boolean arrivalsHandled) {}
+
   public final String id;
   public final String queryClass;
   public final int classIndex;
@@ -80,6 +89,15 @@
   /** Whether the client needs no response any more: it was sent, or the client is gone. */
   public boolean closed;
 
+  /** Whether it was closed because its client has cancelled it or left. */
+  public boolean clientGone;
+
+  /** When it was closed. */
+  public long closedAtNanos;
+
+  /** Its wait for the client of an earlier request with its id; null if there is none. */
+  public DepartureWait departureWait;
+
   /** The deadline at which the gateway itself responds if the request is still open. */
   public Deadline expiryTimer;
 
@@ -99,4 +117,15 @@
     this.receivedAtNanos = receivedAtNanos;
     this.deadlineNanos = deadlineNanos;
   }
+
+  /** Returns whether another request has the same statement. */
+  public boolean hasSameStatement(ClientRequest other) {
+    return Arrays.equals(
+        frame,
+        statementOffset,
+        statementOffset + statementLength,
+        other.frame,
+        other.statementOffset,
+        other.statementOffset + other.statementLength);
+  }
 }
--- a/gateway/src/test/java/reachloom/gateway/OrderingHarness.java
+++ b/gateway/src/test/java/reachloom/gateway/OrderingHarness.java
@@ -171,7 +171,8 @@
 
   /** Asserts that the tables of clients and requests are empty. */
   void assertTablesEmpty() throws InterruptedException {
-    for (String table : List.of("requests", "ids", "clients", "statements", "unsentAttempts")) {
+    for (String table :
+        List.of("requests", "ids", "heldIds", "clients", "statements", "unsentAttempts")) {
       await(() -> tableSize(table) == 0);
       assertEquals(0, tableSize(table), table);
     }
--- a/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
+++ b/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -189,4 +190,57 @@
     assertEquals(AttemptOutcome.TIMEOUT, AttemptProgress.SENT.outcomeIfTimedOut);
     assertEquals(AttemptOutcome.RESET, AttemptProgress.RECEIVING_RESULT.outcomeIfConnectionLost);
   }
+
+  private static ClientRequest request(String id, String statement) {
+    byte[] bytes = statement.getBytes(StandardCharsets.UTF_8);
+    return new ClientRequest(
+        new ClientRequest.Header(id, "quick", 0, 0, null),
+        new ClientRequest.Statement(bytes, 0, bytes.length),
+        new ClientRequest.Origin(1, 1),
+        0,
+        1_000);
+  }
+
+  private static ClientRequest held(RequestIdTable ids, String id, long closedAtNanos) {
+    ClientRequest request = request(id, "select " + id);
+    ids.hold(request);
+    request.closedAtNanos = closedAtNanos;
+    return request;
+  }
+
+  @Test
+  void idIsFreedOnlyByRequestThatHoldsIt() {
+    RequestIdTable ids = new RequestIdTable();
+    ClientRequest holder = held(ids, "a", 10);
+    ids.release(request("a", "select 2"));
+    assertSame(holder, ids.holder("a").orElseThrow());
+    assertEquals(Optional.empty(), ids.lastEnded("a"));
+    ids.release(holder);
+    assertEquals(Optional.empty(), ids.holder("a"));
+    assertEquals(
+        new RequestIdTable.EndedRequest(1, StatementFingerprint.of(holder), true, 10),
+        ids.lastEnded("a").orElseThrow());
+    assertEquals(0, ids.heldCount());
+  }
+
+  /** Ids are new with every request: a table that keeps them all would grow without end. */
+  @Test
+  void endedRequestsAreKeptForLimitedTimeAndInLimitedNumber() {
+    RequestIdTable ids = new RequestIdTable();
+    for (int i = 0; i < 2 * RequestIdTable.MAX_ENDED; i++) {
+      ids.release(held(ids, "id" + i, 10));
+    }
+    assertEquals(RequestIdTable.MAX_ENDED, ids.endedCount());
+    ids.release(held(ids, "late", 11 + RequestIdTable.ENDED_RETENTION_NANOS));
+    assertEquals(1, ids.endedCount());
+    assertTrue(ids.lastEnded("late").isPresent());
+  }
+
+  @Test
+  void fingerprintTellsStatementsApart() {
+    StatementFingerprint fingerprint = StatementFingerprint.of(request("a", "select 12"));
+    assertEquals(fingerprint, StatementFingerprint.of(request("b", "select 12")));
+    assertNotEquals(fingerprint, StatementFingerprint.of(request("a", "select 21")));
+    assertNotEquals(fingerprint, StatementFingerprint.of(request("a", "select 123")));
+  }
 }
