Move the choice among an engine's connections to a class of its own

Change: EngineConnectionSelector; no behavior changes. Result: EngineConnectionOrderingTest, ConnectionCloseTest and ShapeTest pass (arm64).

--- a/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
@@ -77,6 +77,7 @@
   private final EngineConnectionListener listener;
   private final GenerationalSlots<EngineConnection> connections;
   private final EngineConnector connector;
+  private final EngineConnectionSelector selector;
   private final Map<String, Engine> engines = new LinkedHashMap<>();
 
   /** The engine that was listed last at each address. */
@@ -96,6 +97,7 @@
     this.connections = new GenerationalSlots<>(options.maxConnections());
     this.connector =
         new EngineConnector(loop, sockets, transport.dialTimeoutNanos(), connections, this);
+    this.selector = new EngineConnectionSelector(transport.maxStreamsPerConnection());
   }
 
   // ---- The endpoint list ----
@@ -200,8 +202,7 @@
 
   /**
    * Returns a connection to an engine with capacity for one more attempt, established or being
-   * established. Connections of earlier attempts for the same request are excluded: a late response
-   * to an earlier attempt would be taken for a response to this one.
+   * established, which no earlier attempt for the same request has used.
    *
    * @param previousAttempts the attempts for the same request so far; empty for a health check
    * @return empty if the engine is not listed, or no further connection is allowed
@@ -211,7 +212,7 @@
     if (engine == null || !engine.isListed() || engine.superseded) {
       return Optional.empty();
     }
-    Optional<EngineConnection> best = bestAvailable(engine, previousAttempts);
+    Optional<EngineConnection> best = selector.select(engine.connections, previousAttempts);
     if (best.isPresent() && !best.get().isUnresponsive()) {
       return best;
     }
@@ -219,35 +220,6 @@
     return opened.isPresent() ? opened : best;
   }
 
-  private Optional<EngineConnection> bestAvailable(
-      Engine engine, List<EngineAttempt> previousAttempts) {
-    EngineConnection best = null;
-    for (EngineConnection connection : engine.connections) {
-      if (isAvailable(connection, previousAttempts)
-          && (best == null || isPreferred(connection, best))) {
-        best = connection;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private boolean isAvailable(EngineConnection connection, List<EngineAttempt> previousAttempts) {
-    return connection.attemptCount() < transport.maxStreamsPerConnection()
-        && !connection.isClosing()
-        && previousAttempts.stream().noneMatch(attempt -> attempt.connection == connection);
-  }
-
-  /** Prefers responsive connections, then established ones, then the one with fewest attempts. */
-  private static boolean isPreferred(EngineConnection connection, EngineConnection other) {
-    if (connection.isUnresponsive() != other.isUnresponsive()) {
-      return !connection.isUnresponsive();
-    }
-    if (connection.isConnected() != other.isConnected()) {
-      return connection.isConnected();
-    }
-    return connection.attemptCount() < other.attemptCount();
-  }
-
   private Optional<EngineConnection> open(Engine engine) {
     if (engine.connections.size() >= MAX_CONNECTIONS_PER_ENGINE) {
       return Optional.empty();
