Keep a late answer to a withdrawn attempt from a later request with its id

What callers saw: a client left and came back with its id; an engine that answered its first attempt late ended the second one, which ran on unseen. With another client's statement under the id, that client would have had rows that were not its own. Cause: responses on an engine's connection are assigned by request id, which clients choose. Connections of earlier attempts are excluded for one request, not for a later one with its id (AttemptDispatcher.send, EngineConnectionPool.acquire). Evidence: a trial on: ASK, QUIT, ASK of one id on one connection, the answer to the first is passed on for the second. Change: a connection remembers the last 64 ids of attempts withdrawn on it, and is used for them only if no other one is to be had. It is not refused then: a client that repeats an id must not make an engine look unreachable.

--- a/gateway/src/main/java/reachloom/gateway/AttemptDispatcher.java
+++ b/gateway/src/main/java/reachloom/gateway/AttemptDispatcher.java
@@ -70,7 +70,7 @@
 
   /** Sends an attempt to its engine; its events are reported after this call returns. */
   void send(EngineAttempt attempt) {
-    Optional<EngineConnection> acquired = pool.acquire(attempt.engine, attempt.request.attempts);
+    Optional<EngineConnection> acquired = pool.acquire(attempt);
     if (acquired.isEmpty()) {
       loop.defer(() -> end(attempt, AttemptOutcome.UNREACHED));
       return;
@@ -175,6 +175,7 @@
     }
     closeIfWriteIsStuck(attempt);
     if (attempt.isWriteStarted()) {
+      connection.attemptWithdrawn(attempt.request.id);
       if (wasUnanswered(attempt, connection)) {
         connection.markUnresponsive();
       }
--- a/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
+++ b/gateway/src/main/java/reachloom/gateway/EngineConnectionPool.java
@@ -201,19 +201,29 @@
   // ---- Use ----
 
   /**
-   * Returns a connection to an engine with capacity for one more attempt, established or being
-   * established, which no earlier attempt for the same request has used.
+   * Returns a connection for an attempt to its engine, established or being established, which no
+   * earlier attempt for the same request has used.
    *
-   * @param previousAttempts the attempts for the same request so far; empty for a health check
    * @return empty if the engine is not listed, or no further connection is allowed
    */
-  Optional<EngineConnection> acquire(String name, List<EngineAttempt> previousAttempts) {
+  Optional<EngineConnection> acquire(EngineAttempt attempt) {
+    return acquire(
+        attempt.engine,
+        new EngineConnectionSelector.Use(attempt.request.id, attempt.request.attempts));
+  }
+
+  /** Returns a connection for a health check of an engine, as {@link #acquire(EngineAttempt)}. */
+  Optional<EngineConnection> acquire(String engine) {
+    return acquire(engine, EngineConnectionSelector.Use.HEALTH_CHECK);
+  }
+
+  private Optional<EngineConnection> acquire(String name, EngineConnectionSelector.Use use) {
     Engine engine = engines.get(name);
     if (engine == null || !engine.isListed() || engine.superseded) {
       return Optional.empty();
     }
-    Optional<EngineConnection> best = selector.select(engine.connections, previousAttempts);
-    if (best.isPresent() && !best.get().isUnresponsive()) {
+    Optional<EngineConnection> best = selector.select(engine.connections, use);
+    if (best.isPresent() && !EngineConnectionSelector.isAvoided(best.get(), use)) {
       return best;
     }
     Optional<EngineConnection> opened = open(engine);
--- a/gateway/src/main/java/reachloom/gateway/HealthCheckClient.java
+++ b/gateway/src/main/java/reachloom/gateway/HealthCheckClient.java
@@ -1,6 +1,5 @@
 package reachloom.gateway;
 
-import java.util.List;
 import java.util.Optional;
 import reachloom.gateway.state.DeadlineQueue.Deadline;
 import reachloom.gateway.state.EngineConnection;
@@ -42,7 +41,7 @@
 
   /** Checks the health of an engine; the listener receives the result after this call returns. */
   void check(String engine) {
-    Optional<EngineConnection> acquired = pool.acquire(engine, List.of());
+    Optional<EngineConnection> acquired = pool.acquire(engine);
     if (acquired.isEmpty()) {
       loop.defer(() -> listener.onHealthCheck(engine, false, Optional.empty()));
       return;
--- a/gateway/src/main/java/reachloom/gateway/state/EngineConnection.java
+++ b/gateway/src/main/java/reachloom/gateway/state/EngineConnection.java
@@ -1,6 +1,8 @@
 package reachloom.gateway.state;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +22,9 @@
  * attempt dispatcher owns the attempts, and the health check client owns the health checks.
  */
 public final class EngineConnection {
+  /** By the time that as many more are withdrawn, a response to the first one is unlikely. */
+  static final int MAX_WITHDRAWN_IDS = 64;
+
   private final String engine;
   private final long incarnation;
 
@@ -40,6 +45,9 @@
   private final Map<String, EngineAttempt> attempts = new LinkedHashMap<>();
   private final Set<EngineAttempt> unsentAttempts = new LinkedHashSet<>();
 
+  /** The request ids of the attempts that were withdrawn last, oldest first. */
+  private final Deque<String> withdrawnIds = new ArrayDeque<>();
+
   // Health checks: owned by the health check client.
   private final Map<String, Deadline> healthChecks = new LinkedHashMap<>();
 
@@ -232,6 +240,22 @@
     return attempts.remove(attempt.request.id, attempt);
   }
 
+  /** Records that an attempt was withdrawn after it was written, at least in part. */
+  public void attemptWithdrawn(String requestId) {
+    if (withdrawnIds.size() == MAX_WITHDRAWN_IDS) {
+      withdrawnIds.removeFirst();
+    }
+    withdrawnIds.addLast(requestId);
+  }
+
+  /**
+   * Returns whether a response to a withdrawn attempt for a request of the given id may still
+   * arrive, since it was one of the last to be withdrawn.
+   */
+  public boolean mayRespondToWithdrawn(String requestId) {
+    return withdrawnIds.contains(requestId);
+  }
+
   /** Removes and returns all open attempts, oldest first. */
   public List<EngineAttempt> removeAttempts() {
     List<EngineAttempt> removed = openAttempts();
--- a/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
@@ -272,6 +272,23 @@
     assertEquals("ANSWER", other.reply().kind());
   }
 
+  /** The returning client got the late answer to its first attempt, and its second one ran on. */
+  @Test
+  void lateAnswerToFirstAttemptIsNotTakenForThatToRequestOfReturningClient() throws Exception {
+    Connection first = runFirst();
+    usual.close();
+    assertEquals("QUIT " + ID, first.readRequest());
+    gateway.forwardTo = query -> ENGINE;
+    send(other, STATEMENT, "quick");
+    Connection second = engine.accept();
+    assertEquals("ASK " + ID, second.readRequest().substring(0, 4 + ID.length()));
+    answer(first);
+    gateway.awaitHandled();
+    assertEquals(1, gateway.gateway.openRequests());
+    answer(second);
+    assertEquals("ANSWER", other.reply().kind());
+  }
+
   // ---- Cancelled requests ----
 
   /** A cancelled request is no longer open: its client may use the id again. */
--- a/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
+++ b/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
@@ -243,4 +243,19 @@
     assertNotEquals(fingerprint, StatementFingerprint.of(request("a", "select 21")));
     assertNotEquals(fingerprint, StatementFingerprint.of(request("a", "select 123")));
   }
+
+  /** Ids come from clients without end: a connection remembers the latest ones only. */
+  @Test
+  void connectionExpectsResponsesToLastWithdrawnAttempts() {
+    EngineConnection connection = new EngineConnection("s-00000001", 0);
+    connection.attemptWithdrawn("first");
+    for (int i = 1; i < EngineConnection.MAX_WITHDRAWN_IDS; i++) {
+      connection.attemptWithdrawn("id" + i);
+    }
+    assertTrue(connection.mayRespondToWithdrawn("first"));
+    assertFalse(connection.mayRespondToWithdrawn("other"));
+    connection.attemptWithdrawn("last");
+    assertFalse(connection.mayRespondToWithdrawn("first"));
+    assertTrue(connection.mayRespondToWithdrawn("last"));
+  }
 }
