Fail a request with the key of an open request and another statement

What callers would see: a load is dropped by the engines as a repeat of another client's request that named its key and ran first, or the other client is answered with what the load did. A key is the same for all tries of one request, but nothing compared what else the tries had. Evidence: OpenRequestIdTest.otherStatementUnderKeyOfOpenRequestFails: both requests were forwarded, to two engines. Change: IdempotencyKeyTable keeps the keys of requests whose class needs one while they are open or an attempt of them runs; another statement under such a key fails at once, in any class. The same statement is a further try and runs as before. Result (arm64): that test failed before (2 of 2), passes; furtherTryUnderKeyOfOpenRequestIsServed passed before and does; OpenRequestIdTest, TablesTest, StateCleanupTest (the table ends empty) and ShapeTest pass.

--- a/gateway/src/main/java/reachloom/gateway/GatewayService.java
+++ b/gateway/src/main/java/reachloom/gateway/GatewayService.java
@@ -13,6 +13,7 @@
 import reachloom.config.GatewayConfig;
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.EngineAttempt;
+import reachloom.gateway.state.IdempotencyKeyTable;
 import reachloom.gateway.state.RequestIdTable;
 import reachloom.gateway.wire.EndpointListEvent;
 import reachloom.gateway.wire.Sockets;
@@ -76,6 +77,7 @@
   private final ClientConnectionTable clientTable;
   private final ClientConnections clients;
   private final RequestIdTable requestIds = new RequestIdTable();
+  private final IdempotencyKeyTable keys;
   private final RequestRegistry requests;
   private final RequestHandler handler;
   private final AttemptLifecycle attempts;
@@ -102,8 +104,10 @@
         new LingeringClose(loop, sockets, config.transport().dialTimeoutNanos(), maxTransient);
     engines = engineClient(config.maxSockets() / SOCKET_SHARE_DIVISOR);
     clientTable = new ClientConnectionTable(maxClients + maxTransient);
+    keys = new IdempotencyKeyTable(config.settings().classes());
     requests =
-        new RequestRegistry(loop, clientTable, requestIds, config.transport().maxOpenRequests());
+        new RequestRegistry(
+            loop, clientTable, requestIds, keys, config.transport().maxOpenRequests());
     ResponseWriter responses = new ResponseWriter(loop, clientTable, requests);
     overload = new OverloadLog(loop, responses);
     CancelledIds cancelledIds = new CancelledIds(loop);
@@ -120,7 +124,7 @@
             maxAttempts);
     ArrivalBarrier arrivals = new ArrivalBarrier(loop, sockets::readArrived);
     SubmissionGate gate =
-        new SubmissionGate(loop, clientTable, requests, requestIds, cancelledIds, arrivals);
+        new SubmissionGate(loop, clientTable, requests, requestIds, keys, cancelledIds, arrivals);
     handler =
         new RequestHandler(
             config, loop, requests, responses, attempts, engines, gate, this.scheduler);
@@ -243,6 +247,8 @@
         requests.ids(),
         "heldIds",
         requestIds.heldCount(),
+        "keys",
+        keys.size(),
         "clients",
         clientTable.size(),
         "statements",
--- a/gateway/src/main/java/reachloom/gateway/RequestHandler.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestHandler.java
@@ -29,9 +29,6 @@
   private static final Logger LOG = GatewayService.LOG;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  private static final String DUPLICATE_ID =
-      "its id is that of an open request, or of one that has just ended";
-
   private final GatewayConfig config;
   private final EventLoop loop;
   private final RequestRegistry requests;
@@ -108,8 +105,9 @@
       return;
     }
     ClientRequest request = request(arrival, call, fields.get());
-    if (gate.isDuplicate(request)) {
-      failDirectly(arrival, call, DUPLICATE_ID);
+    Optional<String> conflict = gate.conflict(request);
+    if (conflict.isPresent()) {
+      failDirectly(arrival, call, conflict.get());
       return;
     }
     if (!requests.admit(client, request)) {
@@ -149,7 +147,7 @@
         scheduler.onQuery(now, query(request, now));
       }
       case DUPLICATE -> {
-        logFailure(request.id, DUPLICATE_ID);
+        logFailure(request.id, SubmissionGate.DUPLICATE_ID);
         respondFailed(request);
         requests.removeIfDone(request);
       }
--- a/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
+++ b/gateway/src/main/java/reachloom/gateway/RequestRegistry.java
@@ -8,6 +8,7 @@
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.state.GenerationalSlots;
+import reachloom.gateway.state.IdempotencyKeyTable;
 import reachloom.gateway.state.RequestIdTable;
 
 /**
@@ -32,6 +33,7 @@
   private final EventLoop loop;
   private final ClientConnectionTable clients;
   private final RequestIdTable requestIds;
+  private final IdempotencyKeyTable keys;
   private final GenerationalSlots<ClientRequest> slots;
   private final Map<String, ClientRequest> byId = new HashMap<>();
   private final int maxWaiting;
@@ -42,10 +44,15 @@
 
   /** Creates an empty registry for at most {@code maxRequests} requests. */
   RequestRegistry(
-      EventLoop loop, ClientConnectionTable clients, RequestIdTable requestIds, int maxRequests) {
+      EventLoop loop,
+      ClientConnectionTable clients,
+      RequestIdTable requestIds,
+      IdempotencyKeyTable keys,
+      int maxRequests) {
     this.loop = loop;
     this.clients = clients;
     this.requestIds = requestIds;
+    this.keys = keys;
     slots = new GenerationalSlots<>(maxRequests);
     maxWaiting = Math.max(MAX_OPEN_PER_CONNECTION, maxRequests / WAITING_DIVISOR);
   }
@@ -72,6 +79,7 @@
     statementBytes += request.frame.length;
     waiting++;
     client.openRequests.put(request.sequence, request);
+    keys.add(request);
     clients.touch(client, loop.now());
     return true;
   }
@@ -112,6 +120,7 @@
     if (request.closed && request.attemptsInFlight == 0 && slots.get(request.handle) == request) {
       slots.remove(request.handle);
       byId.remove(request.id, request);
+      keys.remove(request);
       statementBytes -= request.frame.length;
     }
   }
--- a/gateway/src/main/java/reachloom/gateway/SubmissionGate.java
+++ b/gateway/src/main/java/reachloom/gateway/SubmissionGate.java
@@ -5,6 +5,7 @@
 import reachloom.gateway.state.ClientConnectionTable;
 import reachloom.gateway.state.ClientRequest;
 import reachloom.gateway.state.ClientRequest.DepartureWait;
+import reachloom.gateway.state.IdempotencyKeyTable;
 import reachloom.gateway.state.RequestIdTable;
 import reachloom.gateway.state.RequestIdTable.EndedRequest;
 import reachloom.gateway.state.StatementFingerprint;
@@ -25,6 +26,12 @@
   /** Interval at which it is checked whether the earlier request with an id has ended. */
   private static final long RETRY_INTERVAL_NANOS = 10 * NANOS_PER_MILLI;
 
+  static final String DUPLICATE_ID =
+      "its id is that of an open request, or of one that has just ended";
+
+  private static final String TAKEN_KEY =
+      "its idempotency key is that of an open request with another statement";
+
   /** What becomes of a request. */
   enum Verdict {
     /** It is submitted now. */
@@ -39,6 +46,7 @@
   private final ClientConnectionTable clients;
   private final RequestRegistry requests;
   private final RequestIdTable requestIds;
+  private final IdempotencyKeyTable keys;
   private final CancelledIds cancelledIds;
   private final ArrivalBarrier arrivals;
 
@@ -47,19 +55,24 @@
       ClientConnectionTable clients,
       RequestRegistry requests,
       RequestIdTable requestIds,
+      IdempotencyKeyTable keys,
       CancelledIds cancelledIds,
       ArrivalBarrier arrivals) {
     this.loop = loop;
     this.clients = clients;
     this.requests = requests;
     this.requestIds = requestIds;
+    this.keys = keys;
     this.cancelledIds = cancelledIds;
     this.arrivals = arrivals;
   }
 
-  /** Returns whether a request that has just arrived must not run, whatever arrives later. */
-  boolean isDuplicate(ClientRequest request) {
-    return idVerdict(request) == RequestIdPolicy.Verdict.DUPLICATE;
+  /** Returns why a request that has just arrived must not run, whatever arrives later. */
+  Optional<String> conflict(ClientRequest request) {
+    if (idVerdict(request) == RequestIdPolicy.Verdict.DUPLICATE) {
+      return Optional.of(DUPLICATE_ID);
+    }
+    return keys.isTaken(request) ? Optional.of(TAKEN_KEY) : Optional.empty();
   }
 
   /**
--- a/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
@@ -313,4 +313,41 @@
     answer(connection);
     assertEquals("ANSWER", usual.reply().kind());
   }
+
+  // ---- Idempotency keys ----
+
+  private static void sendKeyed(ThriftClient client, String statement, String id)
+      throws IOException {
+    client.execute(statement, "verb", "keyed", "unique", "key-1", "txn", id, "limit", LIMIT_MS);
+  }
+
+  /** Engines drop what has a known key: the first load was dropped if the other one ran before. */
+  @ParameterizedTest
+  @ValueSource(strings = {"keyed", "quick"})
+  void otherStatementUnderKeyOfOpenRequestFails(String queryClass) throws Exception {
+    sendKeyed(usual, STATEMENT, ID);
+    Connection connection = engine.accept();
+    assertTrue(connection.readRequest().startsWith("ASK " + ID));
+    gateway.forwardTo = query -> OTHER_ENGINE;
+    other.execute(OTHER_STATEMENT, "verb", queryClass, "unique", "key-1", "limit", LIMIT_MS);
+    assertEquals("FAILED", other.reply().kind());
+    assertEquals(0, otherEngine.count("ASK"));
+    answer(connection);
+    assertEquals("ANSWER", usual.reply().kind());
+  }
+
+  /** The tries of one request share its key, also while an earlier one is open. */
+  @Test
+  void furtherTryUnderKeyOfOpenRequestIsServed() throws Exception {
+    sendKeyed(usual, STATEMENT, ID);
+    Connection connection = engine.accept();
+    assertTrue(connection.readRequest().startsWith("ASK " + ID));
+    gateway.forwardTo = query -> OTHER_ENGINE;
+    sendKeyed(other, STATEMENT, "00000000000000b2");
+    assertEquals("ANSWER", other.reply().kind());
+    answer(connection);
+    assertEquals("ANSWER", usual.reply().kind());
+    sendKeyed(other, OTHER_STATEMENT, "00000000000000c3");
+    assertEquals("ANSWER", other.reply().kind(), "no request with the key is open");
+  }
 }
--- a/gateway/src/test/java/reachloom/gateway/OrderingHarness.java
+++ b/gateway/src/test/java/reachloom/gateway/OrderingHarness.java
@@ -172,7 +172,7 @@
   /** Asserts that the tables of clients and requests are empty. */
   void assertTablesEmpty() throws InterruptedException {
     for (String table :
-        List.of("requests", "ids", "heldIds", "clients", "statements", "unsentAttempts")) {
+        List.of("requests", "ids", "heldIds", "keys", "clients", "statements", "unsentAttempts")) {
       await(() -> tableSize(table) == 0);
       assertEquals(0, tableSize(table), table);
     }
--- a/gateway/src/test/java/reachloom/gateway/StateCleanupTest.java
+++ b/gateway/src/test/java/reachloom/gateway/StateCleanupTest.java
@@ -86,7 +86,8 @@
         Thread.sleep(50);
         sizes = tableSizes(gateway);
       }
-      for (String table : new String[] {"requests", "ids", "heldIds", "clients", "statements"}) {
+      for (String table :
+          new String[] {"requests", "ids", "heldIds", "keys", "clients", "statements"}) {
         assertEquals(0, sizes.get(table), table);
       }
       assertEquals(1, sizes.get("engines"));
--- a/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
+++ b/gateway/src/test/java/reachloom/gateway/state/TablesTest.java
@@ -13,6 +13,9 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import reachloom.scheduler.api.AttemptOutcome;
+import reachloom.scheduler.api.DeduplicationScope;
+import reachloom.scheduler.api.Idempotency;
+import reachloom.scheduler.api.QueryClass;
 
 /** Client eviction, generational slots, the order of deadlines, and outcomes of broken attempts. */
 class TablesTest {
@@ -258,4 +261,55 @@
     assertFalse(connection.mayRespondToWithdrawn("first"));
     assertTrue(connection.mayRespondToWithdrawn("last"));
   }
+
+  private static ClientRequest keyed(String key, int classIndex, String statement) {
+    byte[] bytes = statement.getBytes(StandardCharsets.UTF_8);
+    return new ClientRequest(
+        new ClientRequest.Header("id", "class", classIndex, 0, key),
+        new ClientRequest.Statement(bytes, 0, bytes.length),
+        new ClientRequest.Origin(1, 1),
+        0,
+        1_000);
+  }
+
+  private static QueryClass queryClass(Idempotency idempotency) {
+    return new QueryClass(
+        1,
+        1,
+        1,
+        1,
+        0,
+        idempotency,
+        DeduplicationScope.ALL,
+        1,
+        false,
+        false,
+        List.of(),
+        List.of(),
+        1,
+        false,
+        false);
+  }
+
+  @Test
+  void keyIsTakenUntilLastOfItsRequestsIsRemoved() {
+    IdempotencyKeyTable keys =
+        new IdempotencyKeyTable(
+            List.of(queryClass(Idempotency.IDEMPOTENT_BY_KEY), queryClass(Idempotency.IDEMPOTENT)));
+    ClientRequest first = keyed("k", 0, "a");
+    ClientRequest second = keyed("k", 0, "a");
+    keys.add(first);
+    assertFalse(keys.isTaken(second));
+    keys.add(second);
+    assertTrue(keys.isTaken(keyed("k", 0, "b")));
+    assertTrue(keys.isTaken(keyed("k", 1, "b")), "engines do not look at the class");
+    assertFalse(keys.isTaken(keyed("other", 0, "b")));
+    assertFalse(keys.isTaken(keyed(null, 1, "b")));
+    keys.remove(first);
+    assertTrue(keys.isTaken(keyed("k", 0, "b")));
+    keys.remove(second);
+    assertFalse(keys.isTaken(keyed("k", 0, "b")));
+    keys.add(keyed("k", 1, "a"));
+    assertEquals(0, keys.size(), "the class needs no key");
+  }
 }
