--- a/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
+++ b/gateway/src/test/java/reachloom/gateway/OpenRequestIdTest.java
@@ -7,7 +7,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +27,8 @@
 import reachloom.standin.FakeEngine;
 import reachloom.standin.GatewayProcess;
 import reachloom.standin.ThriftClient;
+import reachloom.standin.ThriftMessages;
+import reachloom.standin.ThriftMessages.Reply;
 
 /**
  * Guards against a request that is served under the id of another client's open request, and
@@ -177,7 +182,7 @@
     other.raw(both.toByteArray());
     String[] kinds = new String[2];
     for (int i = 0; i < kinds.length; i++) {
-      var reply = other.reply();
+      Reply reply = other.reply();
       kinds[reply.seq() - 2] = reply.kind();
     }
     assertEquals("FAILED", kinds[duplicateFirst ? 0 : 1]);
@@ -314,6 +319,23 @@
     assertEquals("ANSWER", usual.reply().kind());
   }
 
+  /** A sequence number names a request of its own connection, and one at a time. */
+  @Test
+  void requestWithSequenceNumberOfOpenRequestFailsAndFirstIsServed() throws Exception {
+    Connection connection = runFirst();
+    Map<String, String> fields =
+        Map.of("verb", "quick", "txn", "00000000000000b2", "limit", LIMIT_MS, "team", "one");
+    ByteBuffer sameNumber = ThriftMessages.execute(2, fields, OTHER_STATEMENT);
+    usual.raw(Arrays.copyOf(sameNumber.array(), sameNumber.limit()));
+    Reply failed = usual.reply();
+    assertEquals(2, failed.seq());
+    assertEquals("FAILED", failed.kind());
+    other.raw(Arrays.copyOf(sameNumber.array(), sameNumber.limit()));
+    assertEquals("ANSWER", other.reply().kind(), "its own connection has no such request");
+    answer(connection);
+    assertEquals("ANSWER", usual.reply().kind());
+  }
+
   // ---- Idempotency keys ----
 
   private static void sendKeyed(ThriftClient client, String statement, String id)
