--- a/gateway/src/main/java/reachloom/gateway/ArrivalBarrier.java
+++ b/gateway/src/main/java/reachloom/gateway/ArrivalBarrier.java
@@ -7,7 +7,7 @@
 
 /**
  * Runs actions once what had arrived on all connections before them is read and handled. Actions
- * that are added while the sockets are read share the next round.
+ * that are added while the sockets are read share the next round; callers bound their number.
  *
  * <p>Confined to the event loop's thread.
  */
--- a/gateway/src/main/java/reachloom/gateway/state/IdempotencyKeyTable.java
+++ b/gateway/src/main/java/reachloom/gateway/state/IdempotencyKeyTable.java
@@ -26,12 +26,14 @@
 
   /** Returns whether the key of a request, if it has one, is that of another statement. */
   public boolean isTaken(ClientRequest request) {
-    return request.key != null
-        && requestsByKey.getOrDefault(request.key, Set.of()).stream()
-            .anyMatch(holder -> !request.hasSameStatement(holder));
+    if (request.key == null) {
+      return false;
+    }
+    Set<ClientRequest> holders = requestsByKey.getOrDefault(request.key, Set.of());
+    return !holders.isEmpty() && !request.hasSameStatement(holders.iterator().next());
   }
 
-  /** Adds a request; ignores one whose class needs no key. */
+  /** Adds a request whose key is not taken; ignores one whose class needs no key. */
   public void add(ClientRequest request) {
     if (needsKey(request)) {
       requestsByKey.computeIfAbsent(request.key, key -> new LinkedHashSet<>()).add(request);
